--- /dev/null
+++ b/crates/gladekeel-controller/src/api.rs
@@ -0,0 +1,141 @@
+//! Answers to users: how a request is read and what each outcome looks like.
+
+use crate::world::World;
+use gladekeel_sched::Room;
+use gladekeel_wire::{
+    JobId,
+    job::{ErrorBody, JobSpec, JobState, JobStatus},
+    settings::Params,
+};
+use serde::Serialize;
+
+/// A response, without its transport.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// Seconds after which to come back.
+    pub retry_after: Option<u32>,
+    /// JSON body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// A JSON body.
+    pub fn json<T: Serialize>(status: u16, body: &T) -> Reply {
+        let body = serde_json::to_vec(body).expect("wire types always serialise");
+        Reply { status, retry_after: None, body }
+    }
+
+    /// An error in words.
+    pub fn error(status: u16, what: impl Into<String>) -> Reply {
+        Reply::json(status, &ErrorBody { error: what.into() })
+    }
+
+    /// Come back later.
+    pub fn later(status: u16, seconds: u32, what: &str) -> Reply {
+        Reply { retry_after: Some(seconds), ..Reply::error(status, what) }
+    }
+}
+
+/// What a path asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Route {
+    /// Submit a job.
+    Submit,
+    /// Ask for a job's state; none if the id cannot be one.
+    Poll(Option<JobId>),
+    /// Cancel a job.
+    Cancel(Option<JobId>),
+    /// A worker's report.
+    Checkin,
+    /// Health.
+    Up,
+    /// Known path, wrong method.
+    WrongMethod,
+    /// Nothing.
+    Unknown,
+}
+
+impl Route {
+    /// Reads method and path.
+    pub fn of(method: &str, path: &str) -> Route {
+        let (route, wanted) = match path {
+            "/api/jobs" => (Route::Submit, "POST"),
+            "/checkin" => (Route::Checkin, "POST"),
+            "/up" => (Route::Up, "GET"),
+            _ => match path.strip_prefix("/api/jobs/").map(|rest| rest.split_once('/')) {
+                None => return Route::Unknown,
+                Some(Some((id, "cancel"))) => (Route::Cancel(id.parse().ok()), "POST"),
+                Some(Some(_)) => return Route::Unknown,
+                Some(None) => (Route::Poll(path["/api/jobs/".len()..].parse().ok()), "GET"),
+            },
+        };
+        if method == wanted { route } else { Route::WrongMethod }
+    }
+}
+
+/// The state of a job as the store has it; none if there is no such job.
+pub fn status(world: &World, id: &JobId) -> Option<JobStatus> {
+    if let Some(state) = world.fates.get(id) {
+        return Some(JobStatus { id: id.clone(), state: *state, done: None, running: None });
+    }
+    let job = world.jobs.get(id)?;
+    let done = world.finished(id, job.spec.tasks).0.count();
+    let running = world.running(id);
+    let state = if running > 0 { JobState::Running } else { JobState::Queued };
+    Some(JobStatus { id: id.clone(), state, done: Some(done), running: Some(running) })
+}
+
+/// Whether a job can never run, and why.
+pub enum Verdict {
+    /// It can.
+    Fine,
+    /// It cannot.
+    Never(String),
+    /// That cannot be told yet: machine types are not known.
+    Unknown,
+}
+
+/// Judges a well-formed submission.
+pub fn judge(params: &Params, world: &World, spec: &JobSpec) -> Verdict {
+    let Some(team) = params.teams.iter().find(|team| team.name == spec.team) else {
+        return Verdict::Never(format!("no team {:?}", spec.team));
+    };
+    if spec.cpus > team.cpus_max || spec.gpus > team.gpus_max {
+        return Verdict::Never("a task needs more than the team's limit".into());
+    }
+    let Some((types, _)) = &world.types else { return Verdict::Unknown };
+    let task = Room::taken(spec.cpus, spec.gpus, spec.memory_gb);
+    let fits = types.types.iter().any(|t| {
+        spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+            && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+            && task.fits(Room::offered(t.cpus, t.gpus, t.memory_gb))
+    });
+    if fits { Verdict::Fine } else { Verdict::Never("a task fits no allowed machine type".into()) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn routes() {
+        let id = |text: &str| Some(text.parse::<JobId>().unwrap());
+        for (method, path, route) in [
+            ("POST", "/api/jobs", Route::Submit),
+            ("GET", "/api/jobs/job-1", Route::Poll(id("job-1"))),
+            ("GET", "/api/jobs/%00", Route::Poll(None)),
+            ("GET", "/api/jobs/", Route::Poll(None)),
+            ("POST", "/api/jobs/job-1/cancel", Route::Cancel(id("job-1"))),
+            ("GET", "/api/jobs/job-1/cancel", Route::WrongMethod),
+            ("POST", "/api/jobs/job-1/other", Route::Unknown),
+            ("POST", "/checkin", Route::Checkin),
+            ("GET", "/up", Route::Up),
+            ("DELETE", "/api/jobs", Route::WrongMethod),
+            ("GET", "/", Route::Unknown),
+        ] {
+            assert_eq!(Route::of(method, path), route, "{method} {path}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -0,0 +1,91 @@
+//! Reports that reach a node: the leader's own, and those that must be sent on.
+
+use crate::{leader::Leader, world::World};
+use gladekeel_wire::{
+    job::JobState,
+    worker::{Command, Redirect, Report, ReportAnswer, TaskState},
+};
+use std::collections::HashMap;
+
+/// A worker that comes back within this time after being sent to the leader
+/// could not reach it.
+const TRY_LEADER_S: f64 = 12.0;
+
+/// How a report is answered.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// 200.
+    Commands(ReportAnswer),
+    /// 421: report to that node.
+    Elsewhere(Redirect),
+    /// 503: this node is not entitled to act.
+    NotEntitled,
+}
+
+/// What a node knows when a report arrives.
+pub struct Standing<'a> {
+    /// The time.
+    pub now: f64,
+    /// The store as last seen.
+    pub world: &'a World,
+    /// Another node that leads.
+    pub leader_elsewhere: Option<&'a str>,
+    /// Whether tasks may be kept alive: the store was heard of recently enough
+    /// for a cancellation that this node has not heard of to end in time.
+    pub may_keep: bool,
+    /// Whether the store was heard of just now.
+    pub fresh: bool,
+}
+
+/// Workers that were sent to the leader.
+#[derive(Debug, Default)]
+pub struct Desk {
+    sent_on: HashMap<String, (f64, u64)>,
+}
+
+impl Desk {
+    /// Answers a report.
+    pub fn answer(
+        &mut self,
+        standing: &Standing<'_>,
+        leader: Option<&mut Leader>,
+        report: &Report,
+    ) -> Answer {
+        let now = standing.now;
+        if let Some(leader) = leader {
+            // A worker that has seen a higher token would drop the answer.
+            if !standing.may_keep || report.token > leader.token {
+                return Answer::NotEntitled;
+            }
+            return Answer::Commands(leader.on_report(now, report, standing.fresh));
+        }
+        let token = standing.world.token;
+        if let Some(name) = standing.leader_elsewhere
+            && standing.fresh
+        {
+            self.sent_on.retain(|_, (at, _)| now - *at < 10.0 * TRY_LEADER_S);
+            let tried = self.sent_on.get(&report.machine);
+            if tried.is_none_or(|(at, under)| now - at >= TRY_LEADER_S || *under != token) {
+                self.sent_on.insert(report.machine.clone(), (now, token));
+                return Answer::Elsewhere(Redirect { report_to: Some(name.to_owned()) });
+            }
+        }
+        if !standing.may_keep || token == 0 || report.token > token {
+            return Answer::NotEntitled;
+        }
+        // Nobody who could command it can be reached: keep its tasks alive, except
+        // those that were cancelled.
+        let cancelled = report.tasks.iter().filter(|task| {
+            task.state != TaskState::Exited
+                && standing.world.fates.get(&task.task.job) == Some(&JobState::Cancelled)
+        });
+        let commands = cancelled
+            .map(|task| Command::Stop {
+                task: task.task.clone(),
+                attempt: task.attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        Answer::Commands(ReportAnswer { token, commands })
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/cloud.rs
@@ -0,0 +1,105 @@
+//! Requests to the cloud and what comes of them.
+
+use gladekeel_wire::cloud::{MAX_LIST, MachineList, MachineNames, MachineTypes, Rent};
+use gladekeel_wire::job::ErrorBody;
+
+/// A request to the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudCall {
+    /// Read the machine types and their prices.
+    Types,
+    /// Rent machines.
+    Rent(Rent),
+    /// Delete machines.
+    Delete(Vec<String>),
+    /// Read a page of the machine list.
+    List {
+        /// Begin after this machine.
+        after: Option<String>,
+    },
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudOutcome {
+    /// The machine types.
+    Types(MachineTypes),
+    /// Machines were rented.
+    Rented(Vec<String>),
+    /// There are none to rent.
+    NoCapacity,
+    /// The machines are gone.
+    Deleted,
+    /// A page of the list.
+    List(MachineList),
+    /// Over the budget; nothing was done.
+    Busy,
+    /// The cloud refused; nothing was done.
+    Trouble,
+    /// The cloud finds the request malformed; nothing was done.
+    Bad,
+    /// No answer: it may have been carried out, or may be later.
+    Unknown,
+}
+
+impl CloudCall {
+    /// Method, target and body of the request.
+    pub fn encode(&self) -> (&'static str, String, Vec<u8>) {
+        let json = |value: serde_json::Result<Vec<u8>>| value.expect("wire types always serialise");
+        match self {
+            CloudCall::Types => ("GET", "/flavors".into(), Vec::new()),
+            CloudCall::Rent(rent) => ("POST", "/machines".into(), json(serde_json::to_vec(rent))),
+            CloudCall::Delete(names) => {
+                let body = MachineNames { machines: names.clone() };
+                ("POST", "/machines/delete".into(), json(serde_json::to_vec(&body)))
+            }
+            CloudCall::List { after } => {
+                let since = after.as_ref().map(|a| format!("since={a}&")).unwrap_or_default();
+                ("GET", format!("/machines?{since}limit={MAX_LIST}"), Vec::new())
+            }
+        }
+    }
+
+    /// Reads the answer.
+    pub fn decode(&self, status: u16, body: &[u8]) -> CloudOutcome {
+        use CloudOutcome::*;
+        match (status, self) {
+            (429, _) => Busy,
+            (503, CloudCall::Rent(_)) => match serde_json::from_slice::<ErrorBody>(body) {
+                Ok(e) if e.error == "no capacity" => NoCapacity,
+                _ => Trouble,
+            },
+            (503, _) => Trouble,
+            (400, _) => Bad,
+            (200, CloudCall::Types) => serde_json::from_slice(body).map_or(Unknown, Types),
+            (200, CloudCall::Rent(_)) => serde_json::from_slice::<MachineNames>(body)
+                .map_or(Unknown, |names| Rented(names.machines)),
+            (200, CloudCall::Delete(_)) => Deleted,
+            (200, CloudCall::List { .. }) => serde_json::from_slice(body).map_or(Unknown, List),
+            _ => Unknown,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_tell_no_capacity_from_trouble() {
+        let rent = CloudCall::Rent(Rent {
+            request: "r-1".into(),
+            machine_type: "g8".into(),
+            zone: "a".into(),
+            spot: true,
+            count: 1,
+        });
+        assert_eq!(rent.decode(503, br#"{"error":"no capacity"}"#), CloudOutcome::NoCapacity);
+        assert_eq!(rent.decode(503, br#"{"error":"trouble"}"#), CloudOutcome::Trouble);
+        assert_eq!(rent.decode(200, b"nonsense"), CloudOutcome::Unknown);
+        assert_eq!(
+            CloudCall::List { after: Some("n-1".into()) }.encode().1,
+            "/machines?since=n-1&limit=500"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/election.rs
@@ -0,0 +1,124 @@
+//! Who leads: a key under a lease, whose version is the fencing token.
+
+use crate::keys::{self, LeaderRecord};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_wire::state::{Guard, Txn, Write};
+
+/// How long the leader's key outlives its last renewal.
+const TTL_MS: u64 = 3000;
+/// How often the lease is renewed.
+const TOUCH_S: f64 = 0.8;
+
+/// A node's part in the election.
+#[derive(Debug, Default)]
+pub struct Election {
+    lease: Option<Lease>,
+    flying: bool,
+    not_before: f64,
+    /// Not a candidate before this time: it resigned.
+    pub stand_after: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: u64,
+    touched: f64,
+}
+
+/// What the node sees of the leader's key, as of a recent contact.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    /// Nobody leads.
+    Nobody,
+    /// This incarnation leads.
+    Me,
+    /// An earlier incarnation of this node, which is dead, under this version.
+    Ghost(u64),
+    /// Another node leads.
+    Other,
+}
+
+impl Election {
+    /// The next request, if one is due.
+    pub fn next(
+        &mut self,
+        now: f64,
+        seen: Seen,
+        record: &LeaderRecord,
+        renew_token: Option<u64>,
+    ) -> Option<Call> {
+        if self.flying || now < self.not_before {
+            return None;
+        }
+        let call = match (seen, self.lease) {
+            (Seen::Me, Some(lease)) => match renew_token {
+                // The same leader under a higher token.
+                Some(token) => {
+                    self.not_before = now + 0.3;
+                    commit(record, token, lease.id)
+                }
+                None if now - lease.touched >= TOUCH_S => Call::Touch(lease.id),
+                None => return None,
+            },
+            // The key hangs on a lease that this incarnation does not know: it runs out.
+            (Seen::Me, None) | (Seen::Other, None) => return None,
+            (Seen::Other, Some(lease)) => Call::Revoke(lease.id),
+            (Seen::Nobody | Seen::Ghost(_), _) if now < self.stand_after => return None,
+            (Seen::Nobody | Seen::Ghost(_), None) => Call::Grant { ttl_ms: TTL_MS },
+            (Seen::Nobody, Some(lease)) => commit(record, 0, lease.id),
+            (Seen::Ghost(version), Some(lease)) => commit(record, version, lease.id),
+        };
+        self.flying = true;
+        Some(call)
+    }
+
+    /// Takes in what came of a request that was sent at `sent_at`. Tells whether
+    /// the store should be looked at at once.
+    pub fn answered(&mut self, now: f64, sent_at: f64, call: &Call, outcome: &Outcome) -> bool {
+        self.flying = false;
+        match (call, outcome) {
+            (Call::Grant { .. }, Outcome::Granted(id)) => {
+                self.lease = Some(Lease { id: *id, touched: sent_at });
+                false
+            }
+            (Call::Touch(_), Outcome::Done) => {
+                if let Some(lease) = &mut self.lease {
+                    lease.touched = sent_at;
+                }
+                false
+            }
+            (Call::Commit(_), Outcome::Committed(_)) => {
+                // Whether this node leads is read from the store, not from this answer.
+                self.not_before = now + 0.2;
+                true
+            }
+            (Call::Revoke(_), _) | (_, Outcome::NoLease) => {
+                self.lease = None;
+                true
+            }
+            (_, Outcome::Busy | Outcome::Refused) => {
+                self.not_before = now + 0.2;
+                false
+            }
+            _ => {
+                self.not_before = now + 0.3;
+                true
+            }
+        }
+    }
+
+    /// Gives up the lease: the key goes with it, and another node can lead at once.
+    pub fn resign(&mut self, now: f64, pause_s: f64) -> Option<Call> {
+        self.stand_after = now + pause_s;
+        let lease = self.lease.take()?;
+        Some(Call::Revoke(lease.id))
+    }
+}
+
+fn commit(record: &LeaderRecord, version: u64, lease: u64) -> Call {
+    let value = serde_json::to_value(record).expect("stored types always serialise");
+    Call::Commit(Txn {
+        guards: vec![Guard { key: keys::LEADER.into(), version }],
+        writes: vec![Write::Put { key: keys::LEADER.into(), value, lease: Some(lease) }],
+    })
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -0,0 +1,519 @@
+//! Renting, watching and returning machines.
+
+use super::{Knowledge, Leader, Machine};
+use crate::{
+    cloud::{CloudCall, CloudOutcome},
+    options::Options,
+};
+use gladekeel_sched::fleet::{Demand, Sizer, Sizing};
+use gladekeel_wire::cloud::{
+    MAX_DELETE, MAX_RENT, MachineList, MachineRow, MachineState, MachineTypes, Rent,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// How long the names of deleted machines are remembered, against late reports and lists.
+const TOMBSTONE_S: f64 = 600.0;
+/// How long a type, zone and kind without capacity is left alone.
+const NO_CAPACITY_S: f64 = 12.0;
+/// How often prices are read.
+const TYPES_EVERY_S: f64 = 60.0;
+/// A machine that boots longer than this many times the usual time does not come.
+const BOOT_MULTIPLE: f64 = 2.5;
+
+/// A type, a zone, spot or not.
+type Shelf = (u32, u32, bool);
+
+/// What the leader knows of the cloud.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    deleted: HashMap<String, f64>,
+    empty_until: HashMap<Shelf, f64>,
+    sizers: HashMap<(u32, bool), Sizer>,
+    /// The rental under way or to be repeated, since it had no answer.
+    rent: Option<(Rent, Shelf)>,
+    /// Rentals decided and not yet asked for.
+    wanted: Vec<(Shelf, u32)>,
+    /// Kinds of requests under way.
+    flying: BTreeSet<u8>,
+    types_at: Option<f64>,
+    list_at: Option<f64>,
+    list: Vec<MachineRow>,
+    counter: u64,
+    not_before: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Fleet {
+            deleted: HashMap::new(),
+            empty_until: HashMap::new(),
+            sizers: HashMap::new(),
+            rent: None,
+            wanted: Vec::new(),
+            flying: BTreeSet::new(),
+            types_at: None,
+            list_at: None,
+            list: Vec::new(),
+            counter: 0,
+            not_before: 0.0,
+        }
+    }
+}
+
+const TYPES: u8 = 0;
+const RENT: u8 = 1;
+const DELETE: u8 = 2;
+const LIST: u8 = 3;
+
+fn lane(call: &CloudCall) -> u8 {
+    match call {
+        CloudCall::Types => TYPES,
+        CloudCall::Rent(_) => RENT,
+        CloudCall::Delete(_) => DELETE,
+        CloudCall::List { .. } => LIST,
+    }
+}
+
+impl Fleet {
+    /// Whether the machine was deleted for certain.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.deleted.contains_key(name)
+    }
+}
+
+impl Knowledge {
+    /// A new token: silence counts anew.
+    pub(super) fn renew(&mut self, now: f64) {
+        for machine in self.machines.values_mut() {
+            machine.quiet_since = now;
+            machine.attempts.clear();
+            machine.used = Default::default();
+            machine.page = None;
+        }
+    }
+}
+
+impl Leader {
+    pub(super) fn next_cloud_call(&mut self, now: f64) -> Option<CloudCall> {
+        if now < self.know.fleet.not_before {
+            return None;
+        }
+        let lag = self.params.cloud.list_lag_s;
+        let fleet = &mut self.know.fleet;
+        let due = |at: Option<f64>, every: f64| at.is_none_or(|at| now - at >= every);
+        let call = if due(fleet.types_at, TYPES_EVERY_S) && !fleet.flying.contains(&TYPES) {
+            CloudCall::Types
+        } else if !fleet.flying.contains(&DELETE)
+            && let Some(names) = deletions(&mut self.know.machines)
+        {
+            CloudCall::Delete(names)
+        } else if !fleet.flying.contains(&RENT)
+            && let Some(rent) = self.next_rent(now)
+        {
+            CloudCall::Rent(rent)
+        } else if !self.know.fleet.flying.contains(&LIST)
+            && (!self.know.fleet.list.is_empty() || due(self.know.fleet.list_at, lag.max(2.0)))
+        {
+            CloudCall::List { after: self.know.fleet.list.last().map(|row| row.name.clone()) }
+        } else {
+            return None;
+        };
+        self.know.fleet.flying.insert(lane(&call));
+        Some(call)
+    }
+
+    fn next_rent(&mut self, now: f64) -> Option<Rent> {
+        let fleet = &mut self.know.fleet;
+        // Without an answer the very same request is repeated: it may have been
+        // carried out, and then the repeat gets the same machines.
+        if let Some((rent, _)) = &fleet.rent {
+            return Some(rent.clone());
+        }
+        loop {
+            let (shelf, count) = fleet.wanted.pop()?;
+            if fleet.empty_until.get(&shelf).is_some_and(|until| now < *until) {
+                continue;
+            }
+            fleet.counter += 1;
+            let rent = Rent {
+                // Token, counter and the node's own random number: never used twice.
+                request: format!("gk-{}-{}-{:08x}", self.token, fleet.counter, self.salt as u32),
+                machine_type: self.catalog.kinds.name(shelf.0).clone(),
+                zone: self.catalog.zones.name(shelf.1).clone(),
+                spot: shelf.2,
+                count: count.min(MAX_RENT),
+            };
+            fleet.rent = Some((rent.clone(), shelf));
+            return Some(rent);
+        }
+    }
+
+    pub(super) fn on_cloud(&mut self, now: f64, call: &CloudCall, outcome: CloudOutcome) {
+        self.know.fleet.flying.remove(&lane(call));
+        match (call, outcome) {
+            (CloudCall::Types, CloudOutcome::Types(types)) => self.on_types(now, types),
+            (CloudCall::Rent(rent), CloudOutcome::Rented(names)) => {
+                self.on_rented(now, rent, names)
+            }
+            (CloudCall::Rent(_), CloudOutcome::NoCapacity | CloudOutcome::Bad) => {
+                if let Some((_, shelf)) = self.know.fleet.rent.take() {
+                    self.know.fleet.empty_until.insert(shelf, now + NO_CAPACITY_S);
+                }
+            }
+            (CloudCall::Delete(names), CloudOutcome::Deleted) => self.on_deleted(now, names),
+            (CloudCall::List { .. }, CloudOutcome::List(page)) => self.on_list(now, page),
+            (CloudCall::List { .. }, _) => {
+                self.know.fleet.list.clear();
+                self.know.fleet.list_at = Some(now);
+            }
+            (CloudCall::Types, _) => {
+                self.know.fleet.types_at = Some(now - TYPES_EVERY_S + 2.0);
+            }
+            (_, CloudOutcome::Busy) => self.know.fleet.not_before = now + 0.5,
+            _ => self.know.fleet.not_before = now + 1.0,
+        }
+    }
+
+    fn on_types(&mut self, now: f64, types: MachineTypes) {
+        self.know.fleet.types_at = Some(now);
+        let first = self.catalog.kinds.is_empty();
+        let stable = |t: &gladekeel_wire::cloud::MachineType| {
+            let mut t = t.clone();
+            t.spot_price = None;
+            t
+        };
+        // Prices move all the time; the store has what a restarted node must know.
+        let changed = types.types.iter().any(|t| {
+            let known = self.catalog.kinds.get(t.name.as_str());
+            let known = known.and_then(|kind| self.catalog.machine_type(kind));
+            known.map(stable) != Some(stable(t))
+        });
+        if first || changed {
+            self.commits.types = Some(types.clone());
+        }
+        self.catalog.learn(&types);
+        self.round_wanted = true;
+    }
+
+    fn on_rented(&mut self, now: f64, rent: &Rent, names: Vec<String>) {
+        let Some((_, shelf)) = self.know.fleet.rent.take() else { return };
+        tracing::info!(
+            kind = rent.machine_type,
+            zone = rent.zone,
+            spot = rent.spot,
+            asked = rent.count,
+            got = names.len(),
+            "rented"
+        );
+        if names.len() < rent.count as usize {
+            self.know.fleet.empty_until.insert(shelf, now + NO_CAPACITY_S);
+        }
+        for name in names {
+            self.know.counts.rented += 1;
+            let ix = self.know.machine_names.intern(&name);
+            let machine = self.know.machines.entry(ix).or_insert_with(|| Machine::new(&name, now));
+            machine.kind = Some(shelf.0);
+            machine.zone = Some(shelf.1);
+            machine.spot = shelf.2;
+        }
+    }
+
+    fn on_deleted(&mut self, now: f64, names: &[String]) {
+        for name in names {
+            let Some(ix) = self.know.machine_names.get(name.as_str()) else { continue };
+            let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
+            machine.gone = true;
+            self.know.counts.deleted += 1;
+            self.know.fleet.deleted.insert(name.clone(), now);
+        }
+        self.round_wanted = true;
+        self.watch_machines(now);
+    }
+
+    fn on_list(&mut self, now: f64, page: MachineList) {
+        self.know.fleet.list.extend(page.machines);
+        if page.more {
+            return;
+        }
+        self.know.fleet.list_at = Some(now);
+        let rows = std::mem::take(&mut self.know.fleet.list);
+        let mut listed = BTreeSet::new();
+        for row in rows {
+            if self.know.fleet.is_gone(&row.name) {
+                continue;
+            }
+            let ix = self.know.machine_names.intern(&row.name);
+            listed.insert(ix);
+            let machine = self.know.machines.entry(ix).or_insert_with(|| {
+                tracing::info!(machine = row.name, "adopted from the list");
+                let mut machine = Machine::new(&row.name, now);
+                machine.born = now - row.age_s;
+                machine
+            });
+            machine.kind = Some(self.catalog.kind(&row.machine_type));
+            machine.zone = Some(self.catalog.zones.intern(&row.zone));
+            machine.spot = row.spot;
+            machine.listed = true;
+            machine.missing = 0;
+            machine.list_state = Some(row.state);
+            if row.state == MachineState::Failed && machine.delete.is_none() {
+                machine.delete = Some("failed");
+            }
+        }
+        for (ix, machine) in &mut self.know.machines {
+            if machine.listed && !listed.contains(ix) && now - machine.quiet_since > 5.0 {
+                // Lists may be older than the one before: one of them proves little.
+                machine.missing += 1;
+                if machine.missing >= 2 && machine.delete.is_none() {
+                    machine.delete = Some("no longer listed");
+                }
+            }
+        }
+    }
+
+    /// Decides which machines to rent and which to return.
+    pub(super) fn size_fleet(&mut self, now: f64, options: &Options) {
+        self.know.fleet.deleted.retain(|_, at| now - *at < TOMBSTONE_S);
+        self.know.machines.retain(|_, machine| !(machine.gone && machine.attempts.is_empty()));
+        self.find_dead(now, options);
+        self.know.fleet.wanted.clear();
+        let demands = self.demands(&options.sizing, now);
+        for (kind, (any, ordinary)) in demands {
+            self.size_kind(now, options, kind, any, ordinary);
+        }
+    }
+
+    /// Marks machines that are dead: silent, failed to boot, taken.
+    fn find_dead(&mut self, now: f64, options: &Options) {
+        let boots: BTreeMap<u32, f64> = self
+            .catalog
+            .types
+            .iter()
+            .enumerate()
+            .filter_map(|(kind, t)| Some((kind as u32, t.as_ref()?.boot_s)))
+            .collect();
+        let mut zones: BTreeMap<Option<u32>, (usize, usize)> = BTreeMap::new();
+        for machine in self.know.machines.values().filter(|m| m.should_report()) {
+            let (heard, all) = zones.entry(machine.zone).or_default();
+            *all += 1;
+            *heard += usize::from(now - machine.quiet_since < 4.5);
+        }
+        let heard_any = zones.values().any(|(heard, _)| *heard > 0);
+        let lease_s = self.params.workers.lease_s;
+        for machine in self.know.machines.values_mut().filter(|m| m.delete.is_none() && !m.gone) {
+            let quiet = now - machine.quiet_since;
+            if machine.should_report() {
+                let zone_heard = zones.get(&machine.zone).is_some_and(|(heard, _)| *heard > 0);
+                let taken = machine.leaves_at.is_some_and(|at| now > at + 0.5) && quiet > 4.5;
+                // Silence of a whole zone may be a cut, and its machines may be at
+                // work behind it: only a long one is taken for their end.
+                if (zone_heard && (quiet > options.silent_s || taken))
+                    || (heard_any && quiet > lease_s + options.silent_s)
+                    || quiet > 3.0 * lease_s
+                {
+                    tracing::info!(machine = machine.name, quiet, taken, "silent: deleted");
+                    machine.delete = Some("silent");
+                }
+            } else {
+                let boot = machine.kind.and_then(|kind| boots.get(&kind)).copied().unwrap_or(60.0);
+                if now - machine.born > boot * BOOT_MULTIPLE + 10.0 {
+                    tracing::info!(machine = machine.name, "never came up: deleted");
+                    machine.delete = Some("never came up");
+                }
+            }
+        }
+    }
+
+    /// Demand by machine type, in machines: for all work, and for work that may
+    /// not use spot machines.
+    fn demands(&mut self, sizing: &Sizing, now: f64) -> BTreeMap<u32, (f64, f64)> {
+        let mut demands: BTreeMap<(u32, bool), Demand> = BTreeMap::new();
+        let mut left: Vec<_> = self.teams.iter().map(|team| team.limit).collect();
+        for job in self.jobs.values().filter(|job| !job.over()) {
+            let Some((kind, fits)) = self.kind_for(job) else { continue };
+            let allowed = job.room.times_in(
+                gladekeel_sched::Room { memory: i64::MAX / 4, ..left[job.team as usize] },
+                job.remaining(),
+            );
+            left[job.team as usize] -= job.room * i64::from(allowed);
+            let ratio = self.know.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
+            let run_s = (job.spec.estimate_s * ratio).max(1.0);
+            let running = job.assigned.min(allowed);
+            let pending = if now < job.hold_until { 0 } else { allowed - running };
+            let size = 1.0 / f64::from(fits);
+            for ordinary in [false, true] {
+                if ordinary && job.spec.spot {
+                    continue;
+                }
+                let demand = demands.entry((kind, ordinary)).or_default();
+                demand.running += f64::from(running) * size;
+                demand.pending += f64::from(pending) * size;
+                demand.work += (f64::from(pending) + f64::from(running) * 0.5) * size * run_s;
+            }
+        }
+        let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
+        for kind in 0..self.catalog.types.len() as u32 {
+            for ordinary in [false, true] {
+                let demand = demands.get(&(kind, ordinary)).copied().unwrap_or_default();
+                let sizer = self.know.fleet.sizers.entry((kind, ordinary)).or_default();
+                let machines = sizer.wanted(now, demand, sizing);
+                let both = wanted.entry(kind).or_default();
+                if ordinary {
+                    both.1 = machines;
+                } else {
+                    both.0 = machines;
+                }
+            }
+        }
+        wanted
+    }
+
+    /// The type on which a job's tasks cost least, and how many fit on one.
+    fn kind_for(&self, job: &super::Job) -> Option<(u32, u32)> {
+        let fitting = |kind: u32| -> Option<(f64, u32, u32)> {
+            let machine_type = self.catalog.machine_type(kind)?;
+            let fits = job.room.times_in(self.catalog.room(kind)?, 1000);
+            let zone_fits = job
+                .zone
+                .is_none_or(|zone| machine_type.zones.contains(self.catalog.zones.name(zone)));
+            (fits > 0 && zone_fits).then(|| (machine_type.price / f64::from(fits), kind, fits))
+        };
+        let all: Vec<u32> = (0..self.catalog.types.len() as u32).collect();
+        job.kinds
+            .as_ref()
+            .unwrap_or(&all)
+            .iter()
+            .filter_map(|kind| fitting(*kind))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, kind, fits)| (kind, fits))
+    }
+
+    fn size_kind(&mut self, now: f64, options: &Options, kind: u32, any: f64, ordinary: f64) {
+        let Some(machine_type) = self.catalog.machine_type(kind) else { return };
+        let boot = machine_type.boot_s;
+        let zones: Vec<u32> = machine_type
+            .zones
+            .iter()
+            .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
+            .collect();
+        let may_spot = machine_type.spot_price.is_some();
+        let (mut have, mut have_ordinary) = (0usize, 0usize);
+        let mut by_zone: BTreeMap<(u32, bool), usize> = BTreeMap::new();
+        for machine in self.know.machines.values() {
+            if machine.kind != Some(kind) || machine.leaving() {
+                continue;
+            }
+            // One that boots unusually long is no longer counted on.
+            if machine.heard_at.is_none() && now - machine.born > boot * 1.6 + 5.0 {
+                continue;
+            }
+            have += 1;
+            have_ordinary += usize::from(!machine.spot);
+            if let Some(zone) = machine.zone {
+                *by_zone.entry((zone, machine.spot)).or_default() += 1;
+            }
+        }
+        if let Some((rent, shelf)) = &self.know.fleet.rent
+            && shelf.0 == kind
+        {
+            have += rent.count as usize;
+            have_ordinary += if shelf.2 { 0 } else { rent.count as usize };
+        }
+        let want = any.ceil() as usize;
+        let want_ordinary = ordinary.ceil() as usize;
+        let mut need = want.saturating_sub(have);
+        let need_ordinary = want_ordinary.saturating_sub(have_ordinary).min(need.max(1));
+        for spot in [true, false] {
+            let share = if spot { need.saturating_sub(need_ordinary) } else { need };
+            if share == 0 || (spot && !may_spot) {
+                continue;
+            }
+            let mut open: Vec<u32> = zones
+                .iter()
+                .copied()
+                .filter(|zone| {
+                    let until = self.know.fleet.empty_until.get(&(kind, *zone, spot));
+                    until.is_none_or(|until| now >= *until)
+                })
+                .collect();
+            if open.is_empty() {
+                continue;
+            }
+            // Spread over zones: the one that has fewest gets the most.
+            open.sort_by_key(|zone| by_zone.get(&(*zone, spot)).copied().unwrap_or(0));
+            let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
+            for step in 0..share {
+                *counts.entry(open[step % open.len()]).or_default() += 1;
+            }
+            for (zone, count) in counts {
+                self.know.fleet.wanted.push(((kind, zone, spot), count));
+            }
+            if spot {
+                // What spot machines cannot give, ordinary ones do in the next round.
+                need = need_ordinary;
+            }
+        }
+        let spare = have.saturating_sub(want);
+        if spare > 0 {
+            self.return_idle(
+                now,
+                options,
+                kind,
+                spare,
+                have_ordinary.saturating_sub(want_ordinary),
+            );
+        }
+    }
+
+    fn return_idle(
+        &mut self,
+        now: f64,
+        options: &Options,
+        kind: u32,
+        spare: usize,
+        ordinary: usize,
+    ) {
+        let mut idle: Vec<(bool, f64, u32)> = self
+            .know
+            .machines
+            .iter()
+            .filter(|(_, m)| {
+                m.kind == Some(kind)
+                    && !m.leaving()
+                    && m.heard_at.is_some()
+                    && m.attempts.is_empty()
+                    && now - m.idle_since >= options.idle_s
+                    // A minute is charged in any case.
+                    && now - m.born >= 55.0
+            })
+            .map(|(ix, m)| (m.spot, m.idle_since, *ix))
+            .collect();
+        // Ordinary ones cost most; then those that have been idle longest.
+        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let mut ordinary_left = ordinary;
+        let mut left = spare;
+        for (spot, _, ix) in idle {
+            if left == 0 || (!spot && ordinary_left == 0) {
+                continue;
+            }
+            if let Some(machine) = self.know.machines.get_mut(&ix) {
+                tracing::info!(machine = machine.name, spot, "idle: returned");
+                machine.delete = Some("idle");
+                left -= 1;
+                ordinary_left -= usize::from(!spot);
+            }
+        }
+    }
+}
+
+/// The next machines to delete, if any; marks that the request goes out.
+fn deletions(machines: &mut BTreeMap<u32, Machine>) -> Option<Vec<String>> {
+    let mut names = Vec::new();
+    for machine in machines.values_mut().filter(|m| m.delete.is_some() && !m.gone) {
+        if names.len() < MAX_DELETE {
+            machine.delete_sent = true;
+            names.push(machine.name.clone());
+        }
+    }
+    (!names.is_empty()).then_some(names)
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -0,0 +1,380 @@
+//! The leading controller: what should be, what is, and the steps between.
+//!
+//! Jobs and the assignments of their tasks are the wanted state; the store holds
+//! what has been committed of it, and workers' reports say what is. Every step
+//! follows the rules of `docs/safety.md`.
+
+mod commit;
+mod fleet;
+mod model;
+mod report;
+mod rounds;
+
+pub use model::{Attempt, Job, Machine, Phase, StopWhy};
+
+use crate::{
+    cloud::{CloudCall, CloudOutcome},
+    keys,
+    options::Options,
+    world::World,
+};
+use commit::Commits;
+use fleet::Fleet;
+use gladekeel_sched::{Interner, Room, place::Team};
+use gladekeel_wire::{JobId, cloud::MachineTypes, settings::Params, state::Txn};
+use model::Catalog;
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+/// Attempts that one token can name; the number of an attempt is the token
+/// times this plus a counter, so that no two leaders ever name the same.
+const ATTEMPTS_PER_TOKEN: u64 = 1 << 20;
+
+/// What a leader counts.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Counts {
+    /// Tasks whose start was committed.
+    pub starts: u64,
+    /// Tasks restarted for slowness.
+    pub restarts: u64,
+    /// Tasks stopped to make room.
+    pub preemptions: u64,
+    /// Tasks that failed.
+    pub failures: u64,
+    /// Machines rented.
+    pub rented: u64,
+    /// Machines deleted.
+    pub deleted: u64,
+    /// Rounds of decisions.
+    pub rounds: u64,
+    /// Commits made, and writes in them.
+    pub commits: u64,
+    /// Writes in them.
+    pub writes: u64,
+}
+
+/// What the leader knows besides what is in the store. It outlives a change of
+/// token, and is rebuilt from reports and lists by a new leader.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    machine_names: Interner<String>,
+    machines: BTreeMap<u32, Machine>,
+    fleet: Fleet,
+    /// Run time over the owner's estimate, learned by class.
+    ratios: HashMap<String, f64>,
+    /// Counters.
+    pub counts: Counts,
+}
+
+/// The leader under one token.
+#[derive(Debug)]
+pub struct Leader {
+    /// The fencing token.
+    pub token: u64,
+    /// When it began to lead under this token.
+    since: f64,
+    params: Rc<Params>,
+    catalog: Catalog,
+    know: Knowledge,
+    jobs: BTreeMap<u32, Job>,
+    job_names: Interner<JobId>,
+    attempts: BTreeMap<u64, Attempt>,
+    teams: Vec<Team>,
+    commits: Commits,
+    next_attempt: u64,
+    round_at: f64,
+    round_wanted: bool,
+    salt: u64,
+    fence: bool,
+}
+
+impl Leader {
+    /// Builds a leader from the store as of its token or later.
+    ///
+    /// Every attempt in a page counts as on its machine until there is proof of
+    /// the contrary; a task in no page is on no machine, since no `run` is sent
+    /// without a commit that this token would have made fail.
+    pub fn new(
+        world: &World,
+        token: u64,
+        now: f64,
+        params: Rc<Params>,
+        salt: u64,
+        know: Option<Knowledge>,
+    ) -> Leader {
+        let catalog = Catalog::new(&params, world.types.as_ref().map(|(types, _)| types.clone()));
+        let teams = params
+            .teams
+            .iter()
+            .map(|team| Team {
+                guarantee: Room::offered(team.cpus, team.gpus, 0.0),
+                limit: Room::offered(team.cpus_max, team.gpus_max, 0.0),
+                used: Room::default(),
+            })
+            .collect();
+        let mut leader = Leader {
+            token,
+            since: now,
+            params,
+            catalog,
+            know: know.unwrap_or_default(),
+            jobs: BTreeMap::new(),
+            job_names: Interner::default(),
+            attempts: BTreeMap::new(),
+            teams,
+            commits: Commits::new(world),
+            next_attempt: token * ATTEMPTS_PER_TOKEN,
+            round_at: now,
+            round_wanted: true,
+            salt,
+            fence: false,
+        };
+        leader.know.renew(now);
+        let mut ids: Vec<(&JobId, u64)> =
+            world.jobs.iter().map(|(id, job)| (id, job.version)).collect();
+        ids.sort_by_key(|(_, version)| *version);
+        for (id, _) in ids {
+            leader.learn_job(world, id, now);
+        }
+        for (page, (record, _)) in &world.pages {
+            for (machine, session, tasks) in &record.m {
+                for (job, index, attempt) in tasks {
+                    leader.restore(now, *page, machine, *session, job, *index, *attempt);
+                }
+            }
+        }
+        leader.finish_restored();
+        tracing::info!(
+            token,
+            jobs = leader.jobs.len(),
+            attempts = leader.attempts.len(),
+            "leading"
+        );
+        leader
+    }
+
+    /// What outlives the token, for the next one.
+    pub fn into_knowledge(self) -> Knowledge {
+        self.know
+    }
+
+    /// Counters so far.
+    pub fn counts(&self) -> &Counts {
+        &self.know.counts
+    }
+
+    /// Takes in a job that is new in the store.
+    pub fn learn_job(&mut self, world: &World, id: &JobId, now: f64) {
+        let Some(stored) = world.jobs.get(id) else { return };
+        let ix = self.job_names.intern(id);
+        if self.jobs.contains_key(&ix) {
+            return;
+        }
+        let Some(team) = self.catalog.teams.get(stored.spec.team.as_str()) else {
+            tracing::error!(job = %id, team = stored.spec.team, "job of an unknown team");
+            return;
+        };
+        let (done, restarted) = world.finished(id, stored.spec.tasks);
+        let mut job = Job::new(&mut self.catalog, id.clone(), stored, team, now, done, restarted);
+        job.fate = world.fates.get(id).copied();
+        self.jobs.insert(ix, job);
+        self.round_wanted = true;
+    }
+
+    /// Takes in a final state that is new in the store.
+    pub fn learn_fate(&mut self, world: &World, id: &JobId) {
+        let Some(ix) = self.job_names.get(id) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
+        job.fate = world.fates.get(id).copied();
+        if job.cancelled() {
+            self.stop_job(ix);
+        }
+    }
+
+    /// Takes in that the store no longer has a job.
+    pub fn forget_job(&mut self, id: &JobId) {
+        let Some(ix) = self.job_names.get(id) else { return };
+        if self.jobs.get(&ix).is_some_and(|job| job.assigned == 0) {
+            self.jobs.remove(&ix);
+        }
+    }
+
+    /// Takes in machine types.
+    pub fn learn_types(&mut self, types: &MachineTypes) {
+        self.catalog.learn(types);
+    }
+
+    fn stop_job(&mut self, ix: u32) {
+        for attempt in self.attempts.values_mut().filter(|a| a.job == ix) {
+            attempt.stop = Some(StopWhy::Cancelled);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "one row of a page, spelled out")]
+    fn restore(
+        &mut self,
+        now: f64,
+        page: usize,
+        machine: &str,
+        session: u64,
+        job: &JobId,
+        index: u32,
+        attempt: u64,
+    ) {
+        let Some(job_ix) = self.job_names.get(job).filter(|ix| self.jobs.contains_key(ix)) else {
+            // Jobs are cleared only after their last attempt has left the pages.
+            tracing::error!(%job, machine, "attempt of a job that is not in the store");
+            self.commits.dirty_page(page);
+            return;
+        };
+        let machine_ix = self.know.machine_names.intern(&machine.to_owned());
+        let machine =
+            self.know.machines.entry(machine_ix).or_insert_with(|| Machine::new(machine, now));
+        machine.page = Some(page);
+        machine.attempts.push(attempt);
+        let task = &self.jobs[&job_ix].room;
+        machine.used += *task;
+        self.commits.pages[page].machines.insert(machine_ix);
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                job: job_ix,
+                index,
+                machine: machine_ix,
+                session,
+                phase: Phase::Live,
+                seen: None,
+                run_since: None,
+                stop: None,
+                stop_sent: 0,
+                room: *task,
+                restart: false,
+            },
+        );
+    }
+
+    fn finish_restored(&mut self) {
+        let attempts: Vec<u64> = self.attempts.keys().copied().collect();
+        for id in attempts {
+            let attempt = &self.attempts[&id];
+            let (job_ix, index, room) = (attempt.job, attempt.index, attempt.room);
+            let Some(job) = self.jobs.get_mut(&job_ix) else { continue };
+            job.assigned += 1;
+            job.take_pending(index);
+            let (team, done) = (job.team, job.done.has(index));
+            let cancelled = job.cancelled();
+            self.teams[team as usize].used += room;
+            if done {
+                // Its finish was committed upon a report of its exit: that is the proof.
+                self.release(id, model::Outcome::Done);
+            } else if cancelled && let Some(attempt) = self.attempts.get_mut(&id) {
+                attempt.stop = Some(StopWhy::Cancelled);
+            }
+        }
+    }
+
+    /// Marks an attempt as off its machine. It keeps its room until that is committed.
+    fn release(&mut self, id: u64, outcome: model::Outcome) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if attempt.phase != Phase::Live {
+            return;
+        }
+        attempt.phase = Phase::Releasing(outcome);
+        if let Some(page) = self.know.machines.get(&attempt.machine).and_then(|m| m.page) {
+            self.commits.dirty_page(page);
+        }
+        if outcome == model::Outcome::Done
+            && let Some(job) = self.jobs.get_mut(&attempt.job)
+            && job.done.add(attempt.index)
+        {
+            self.commits.progress.insert((attempt.job, attempt.index / keys::CHUNK));
+        }
+    }
+
+    /// The room of an attempt is free: its release is committed, or it never was.
+    fn free(&mut self, id: u64, outcome: model::Outcome, now: f64) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        if let Some(machine) = self.know.machines.get_mut(&attempt.machine) {
+            machine.attempts.retain(|other| *other != id);
+            machine.used -= attempt.room;
+            if machine.attempts.is_empty() {
+                machine.idle_since = now;
+                if let Some(page) = machine.page.take() {
+                    self.commits.pages[page].machines.remove(&attempt.machine);
+                }
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&attempt.job) {
+            self.teams[job.team as usize].used -= attempt.room;
+            job.assigned -= 1;
+            if outcome != model::Outcome::Done {
+                job.give_back(attempt.index, outcome == model::Outcome::Restart, now);
+            }
+        }
+        self.round_wanted = true;
+    }
+
+    /// Whether the leader wants a new token before it goes on: a commit had no answer.
+    pub fn wants_fence(&self) -> bool {
+        self.fence || self.next_attempt + 1000 > (self.token + 1) * ATTEMPTS_PER_TOKEN
+    }
+
+    /// Machines that reported within the last `within_s`, and machines that should report.
+    pub fn heard(&self, now: f64, within_s: f64) -> (usize, usize) {
+        let up: Vec<&Machine> = self.know.machines.values().filter(|m| m.should_report()).collect();
+        let heard = up.iter().filter(|m| m.heard_at.is_some_and(|at| now - at <= within_s));
+        (heard.count(), up.len())
+    }
+
+    /// Time at which this token began.
+    pub fn since(&self) -> f64 {
+        self.since
+    }
+
+    /// The next transaction, if one is due.
+    pub fn next_commit(&mut self, now: f64, budget: &mut gladekeel_store::Bucket) -> Option<Txn> {
+        self.build_commit(now, budget)
+    }
+
+    /// Decides what is due: a round, the fleet's size.
+    pub fn tick(&mut self, now: f64, options: &Options) {
+        self.watch_machines(now);
+        let due = now - self.round_at >= options.round_s
+            || (self.round_wanted && now - self.round_at >= options.round_s / 4.0);
+        if due && !self.fence {
+            self.round_at = now;
+            self.round_wanted = false;
+            self.know.counts.rounds += 1;
+            self.round(now, options);
+            self.size_fleet(now, options);
+        }
+    }
+
+    /// The next request to the cloud, if one is due.
+    pub fn next_cloud(&mut self, now: f64) -> Option<CloudCall> {
+        self.next_cloud_call(now)
+    }
+
+    /// Takes in what the cloud answered.
+    pub fn cloud_answered(&mut self, now: f64, call: &CloudCall, outcome: CloudOutcome) {
+        self.on_cloud(now, call, outcome);
+    }
+
+    /// Machines by name with their states, for the administration API.
+    pub fn machines(&self) -> impl Iterator<Item = &Machine> {
+        self.know.machines.values()
+    }
+
+    /// Teams' use, in the order of the settings.
+    pub fn team_use(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// Unfinished jobs: how many, and their tasks on no machine.
+    pub fn queue(&self) -> (usize, u64) {
+        let open = self.jobs.values().filter(|job| !job.over());
+        open.fold((0, 0), |(jobs, tasks), job| (jobs + 1, tasks + job.pending.len() as u64))
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -0,0 +1,375 @@
+//! Jobs, attempts and machines as the leader sees them.
+
+use crate::{keys::Bits, world::StoredJob};
+use gladekeel_sched::{Interner, Room, restart};
+use gladekeel_wire::{
+    JobId,
+    cloud::{MachineState, MachineType, MachineTypes},
+    job::{JobSpec, JobState},
+    settings::Params,
+    worker::TaskState,
+};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    rc::Rc,
+};
+
+/// Finished runs that are kept to tell a job's median.
+const RUNS_KEPT: usize = 64;
+
+/// Names of teams, zones, types and images, as indices.
+#[derive(Debug, Default)]
+pub(super) struct Catalog {
+    pub teams: Interner<String>,
+    pub zones: Interner<String>,
+    pub kinds: Interner<String>,
+    pub images: Interner<String>,
+    /// By kind; none for kinds that jobs name but the cloud does not.
+    pub types: Vec<Option<MachineType>>,
+}
+
+impl Catalog {
+    pub fn new(params: &Params, types: Option<Rc<MachineTypes>>) -> Catalog {
+        let mut catalog = Catalog::default();
+        for team in &params.teams {
+            catalog.teams.intern(&team.name);
+        }
+        for zone in &params.zones {
+            catalog.zones.intern(zone);
+        }
+        if let Some(types) = types {
+            catalog.learn(&types);
+        }
+        catalog
+    }
+
+    pub fn learn(&mut self, types: &MachineTypes) {
+        for machine_type in &types.types {
+            let kind = self.kind(&machine_type.name);
+            self.types[kind as usize] = Some(machine_type.clone());
+            for zone in &machine_type.zones {
+                self.zones.intern(zone);
+            }
+        }
+    }
+
+    pub fn kind(&mut self, name: &str) -> u32 {
+        let kind = self.kinds.intern(&name.to_owned());
+        if self.types.len() <= kind as usize {
+            self.types.resize(kind as usize + 1, None);
+        }
+        kind
+    }
+
+    /// A kind's type, if the cloud has it.
+    pub fn machine_type(&self, kind: u32) -> Option<&MachineType> {
+        self.types.get(kind as usize)?.as_ref()
+    }
+
+    /// What a machine of this kind offers.
+    pub fn room(&self, kind: u32) -> Option<Room> {
+        self.machine_type(kind).map(|t| Room::offered(t.cpus, t.gpus, t.memory_gb))
+    }
+}
+
+/// How far an attempt's assignment is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, not committed: no `run` may be sent.
+    Proposed,
+    /// In a committed page: it may be on its machine.
+    Live,
+    /// Proved to be off its machine; the page still has it.
+    Releasing(Outcome),
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Its task is done.
+    Done,
+    /// Its task goes back to the queue.
+    Again,
+    /// Its task goes back as a restart for slowness.
+    Restart,
+}
+
+/// Why an attempt is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopWhy {
+    /// The job is cancelled.
+    Cancelled,
+    /// To make room.
+    Preempted,
+    /// It is slow and starts anew elsewhere.
+    Slow,
+    /// The machine is going away.
+    Drained,
+}
+
+/// A task on a machine.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The job.
+    pub job: u32,
+    /// The task's number.
+    pub index: u32,
+    /// The machine.
+    pub machine: u32,
+    /// The machine's session.
+    pub session: u64,
+    /// How far the assignment is.
+    pub phase: Phase,
+    /// What the worker last said of it under this token.
+    pub seen: Option<TaskState>,
+    /// When it was first seen running.
+    pub run_since: Option<f64>,
+    /// Why it should stop, if it should.
+    pub stop: Option<StopWhy>,
+    /// How often the stop was sent.
+    pub stop_sent: u32,
+    /// What it takes.
+    pub room: Room,
+    /// Whether it is a restart.
+    pub restart: bool,
+}
+
+/// A job.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// Its description.
+    pub spec: Rc<JobSpec>,
+    /// Version of its key.
+    pub version: u64,
+    /// Its team.
+    pub team: u32,
+    /// What a task takes.
+    pub room: Room,
+    /// Its image.
+    pub image: u32,
+    /// Allowed kinds.
+    pub kinds: Option<Vec<u32>>,
+    /// The only allowed zone.
+    pub zone: Option<u32>,
+    /// Its final state, if the store has one.
+    pub fate: Option<JobState>,
+    /// Finished tasks.
+    pub done: Bits,
+    /// Tasks restarted for slowness.
+    pub restarted: Bits,
+    /// Tasks on no machine; restarts first.
+    pub pending: VecDeque<u32>,
+    /// How many of the first pending tasks are restarts.
+    pub restarts: u32,
+    /// Attempts, releasing ones included.
+    pub assigned: u32,
+    /// When the leader learned of it.
+    pub known_at: f64,
+    /// Since when it has had tasks that found no room.
+    pub waits_since: Option<f64>,
+    /// Finished runs, in seconds.
+    pub runs: Vec<f64>,
+    /// Failures since the last finish.
+    pub failures: u32,
+    /// Machines on which it failed since its last finish.
+    pub failed_on: BTreeSet<u32>,
+    /// Not placed before this time.
+    pub hold_until: f64,
+}
+
+impl Job {
+    pub(super) fn new(
+        catalog: &mut Catalog,
+        id: JobId,
+        stored: &StoredJob,
+        team: u32,
+        now: f64,
+        done: Bits,
+        restarted: Bits,
+    ) -> Job {
+        let spec = stored.spec.clone();
+        Job {
+            id,
+            version: stored.version,
+            team,
+            room: Room::taken(spec.cpus, spec.gpus, spec.memory_gb),
+            image: catalog.images.intern(&spec.image),
+            kinds: spec.types.as_ref().map(|types| types.iter().map(|t| catalog.kind(t)).collect()),
+            zone: spec.zone.as_ref().map(|zone| catalog.zones.intern(zone)),
+            fate: None,
+            pending: (0..spec.tasks).filter(|index| !done.has(*index)).collect(),
+            done,
+            restarted,
+            restarts: 0,
+            assigned: 0,
+            known_at: now,
+            waits_since: None,
+            runs: Vec::new(),
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            hold_until: 0.0,
+            spec,
+        }
+    }
+
+    /// Whether it is cancelled.
+    pub fn cancelled(&self) -> bool {
+        self.fate == Some(JobState::Cancelled)
+    }
+
+    /// Whether it needs nothing more: final, or all of its tasks done.
+    pub fn over(&self) -> bool {
+        self.fate.is_some() || self.done.count() == self.spec.tasks
+    }
+
+    /// Tasks that have not completed.
+    pub fn remaining(&self) -> u32 {
+        self.spec.tasks - self.done.count()
+    }
+
+    /// Takes a certain task off the queue.
+    pub(super) fn take_pending(&mut self, index: u32) {
+        self.pending.retain(|other| *other != index);
+    }
+
+    /// Takes the next task off the queue.
+    pub(super) fn next_pending(&mut self) -> Option<u32> {
+        self.restarts = self.restarts.saturating_sub(1);
+        self.pending.pop_front()
+    }
+
+    /// Puts a task back: in front, since it has waited already.
+    pub(super) fn give_back(&mut self, index: u32, restart: bool, now: f64) {
+        if self.done.has(index) {
+            return;
+        }
+        if restart {
+            self.pending.push_front(index);
+            self.restarts += 1;
+        } else {
+            self.pending.insert((self.restarts as usize).min(self.pending.len()), index);
+        }
+        self.waits_since.get_or_insert(now);
+    }
+
+    /// Remembers a finished run.
+    pub(super) fn ran(&mut self, seconds: f64) {
+        if self.runs.len() < RUNS_KEPT {
+            self.runs.push(seconds);
+        } else {
+            let at = self.done.count() as usize % RUNS_KEPT;
+            self.runs[at] = seconds;
+        }
+    }
+
+    /// Median of its finished runs.
+    pub fn median(&self) -> Option<f64> {
+        restart::median(&mut self.runs.clone())
+    }
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its name.
+    pub name: String,
+    /// Its type, once known.
+    pub kind: Option<u32>,
+    /// Its zone, once known.
+    pub zone: Option<u32>,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// The worker's address.
+    pub addr: Option<String>,
+    /// Session and number of the newest report.
+    pub newest: (u64, u64),
+    /// Highest token that the worker said it has seen.
+    pub token: u64,
+    /// When it last reported.
+    pub heard_at: Option<f64>,
+    /// From when silence counts: the last report, or the takeover.
+    pub quiet_since: f64,
+    /// When the cloud takes it, if it said so.
+    pub leaves_at: Option<f64>,
+    /// When it was rented, as far as known.
+    pub born: f64,
+    /// Whether the list has shown it.
+    pub listed: bool,
+    /// What the list says.
+    pub list_state: Option<MachineState>,
+    /// Lists in a row that lacked it although it had been listed.
+    pub missing: u32,
+    /// Why it should be deleted, if it should.
+    pub delete: Option<&'static str>,
+    /// Whether a deletion was sent: it gets no more work, whatever comes of it.
+    pub delete_sent: bool,
+    /// Whether the deletion is confirmed.
+    pub gone: bool,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not used for new work before this time.
+    pub hold_until: f64,
+    /// Since when it has no attempt.
+    pub idle_since: f64,
+    /// Attempts on it.
+    pub attempts: Vec<u64>,
+    /// What they take.
+    pub used: Room,
+    /// Page that has its attempts.
+    pub page: Option<usize>,
+    /// Images that it should have, oldest use first, with sizes.
+    pub images: Vec<(u32, f64)>,
+}
+
+impl Machine {
+    pub(super) fn new(name: &str, now: f64) -> Machine {
+        Machine {
+            name: name.to_owned(),
+            kind: None,
+            zone: None,
+            spot: false,
+            addr: None,
+            newest: (0, 0),
+            token: 0,
+            heard_at: None,
+            quiet_since: now,
+            leaves_at: None,
+            born: now,
+            listed: false,
+            list_state: None,
+            missing: 0,
+            delete: None,
+            delete_sent: false,
+            gone: false,
+            failures: 0,
+            hold_until: 0.0,
+            idle_since: now,
+            attempts: Vec::new(),
+            used: Room::default(),
+            page: None,
+            images: Vec::new(),
+        }
+    }
+
+    /// Whether its silence would mean something: it has reported, or holds work.
+    pub fn should_report(&self) -> bool {
+        !self.gone && (self.heard_at.is_some() || !self.attempts.is_empty())
+    }
+
+    /// Whether it is on its way out.
+    pub fn leaving(&self) -> bool {
+        self.delete.is_some() || self.delete_sent || self.gone || self.leaves_at.is_some()
+    }
+
+    /// Notes that an image was used, and drops the oldest ones over the cache's size.
+    pub(super) fn used_image(&mut self, image: u32, size: f64, cache_gb: f64) {
+        self.images.retain(|(other, _)| *other != image);
+        self.images.push((image, size));
+        let mut total: f64 = self.images.iter().map(|(_, size)| size).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -0,0 +1,227 @@
+//! Workers' reports and the commands that answer them.
+
+use super::{Leader, Machine, Phase, StopWhy, model::Outcome};
+use gladekeel_wire::TaskId;
+use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
+use std::collections::BTreeMap;
+
+/// Commands in one answer; a line must stay below 64 KiB.
+const MAX_COMMANDS: usize = 400;
+
+impl Leader {
+    /// Takes in a report and answers it. `may_start` is false while nothing new
+    /// may be started, since the store was not heard of for too long.
+    pub fn on_report(&mut self, now: f64, report: &Report, may_start: bool) -> ReportAnswer {
+        let mut answer = ReportAnswer { token: self.token, commands: Vec::new() };
+        if self.know.fleet.is_gone(&report.machine) {
+            return answer;
+        }
+        let ix = self.know.machine_names.intern(&report.machine);
+        let (kind, zone) =
+            (self.catalog.kind(&report.machine_type), self.catalog.zones.intern(&report.zone));
+        let machine = self.know.machines.entry(ix).or_insert_with(|| {
+            tracing::info!(machine = report.machine, "a machine reports that was not rented here");
+            Machine::new(&report.machine, now)
+        });
+        // Reports may come late and out of order; only a newer one says anything.
+        if (report.session, report.seq) <= machine.newest {
+            return answer;
+        }
+        machine.newest = (report.session, report.seq);
+        machine.token = machine.token.max(report.token);
+        machine.heard_at = Some(now);
+        machine.quiet_since = now;
+        machine.missing = 0;
+        machine.kind = Some(kind);
+        machine.zone = Some(zone);
+        machine.spot = report.spot;
+        machine.addr = Some(report.addr.clone());
+        if let Some(notice) = report.notice_s {
+            if machine.leaves_at.is_none() {
+                tracing::info!(machine = machine.name, notice, "notice: the cloud takes a machine");
+                self.round_wanted = true;
+            }
+            machine.leaves_at = Some(now + notice);
+        }
+        // A report under our token was made after the worker saw it, so commands
+        // of older tokens are dead; and since the worker has one report in flight
+        // and takes answers in turn, so are our own earlier answers.
+        let settled = report.token == self.token;
+
+        let mut reported: BTreeMap<u64, &TaskReport> =
+            report.tasks.iter().map(|task| (task.attempt, task)).collect();
+        for id in machine.attempts.clone() {
+            let Some(attempt) = self.attempts.get(&id) else { continue };
+            if attempt.session < report.session {
+                // A newer session: the worker has killed and forgotten everything before it.
+                self.release(id, Outcome::Again);
+                reported.remove(&id);
+                continue;
+            }
+            let own = reported
+                .get(&id)
+                .filter(|t| {
+                    t.task.index == attempt.index && self.job_names.name(attempt.job) == &t.task.job
+                })
+                .copied();
+            if own.is_some() {
+                reported.remove(&id);
+            }
+            self.on_task(now, id, own, settled, may_start, &mut answer.commands);
+        }
+        for (attempt, task) in reported {
+            self.on_stray(attempt, task, settled, &mut answer.commands);
+        }
+        answer.commands.sort_by_key(|command| match command {
+            Command::Forget { .. } => 0,
+            Command::Stop { .. } => 1,
+            Command::Start { .. } => 2,
+        });
+        answer.commands.truncate(MAX_COMMANDS);
+        answer
+    }
+
+    fn on_task(
+        &mut self,
+        now: f64,
+        id: u64,
+        reported: Option<&TaskReport>,
+        settled: bool,
+        may_start: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if attempt.phase != Phase::Live {
+            return;
+        }
+        let task = TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index };
+        let Some(reported) = reported else {
+            let starting = may_start
+                && !self.fence
+                && attempt.stop.is_none()
+                && self.know.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
+            if starting {
+                commands.push(Command::Start { task, attempt: id });
+            } else if settled && (attempt.stop.is_some() || !may_start_ever(self, id)) {
+                // Not there, and no command that could still start it.
+                self.release(id, Outcome::Again);
+            }
+            return;
+        };
+        attempt.seen = Some(reported.state);
+        if matches!(reported.state, TaskState::Running | TaskState::Saving) {
+            attempt.run_since.get_or_insert(now);
+        }
+        if reported.state == TaskState::Exited {
+            self.on_exit(now, id, reported);
+            return;
+        }
+        let Some(why) = attempt.stop else { return };
+        if reported.state == TaskState::Saving && why != StopWhy::Cancelled {
+            return;
+        }
+        let spec = &self.jobs[&attempt.job].spec;
+        let saves = spec.checkpoint_s > 0.0 && why != StopWhy::Cancelled;
+        attempt.stop_sent += 1;
+        // More than the task asks for, so that a slower save is not cut off.
+        let grace_s = if saves { spec.save_s * 1.5 + 1.0 } else { 0.0 };
+        commands.push(Command::Stop { task, attempt: id, grace_s });
+    }
+
+    /// A task that is reported but in no page, or that is reported under an
+    /// attempt whose release is committed.
+    fn on_stray(
+        &mut self,
+        attempt: u64,
+        task: &TaskReport,
+        settled: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        if self.attempts.contains_key(&attempt) || !settled {
+            return;
+        }
+        let task_id = task.task.clone();
+        commands.push(if task.state == TaskState::Exited {
+            // Off the pages, so its end is committed; settled, so no `run` of it
+            // can still arrive and start it anew.
+            Command::Forget { task: task_id, attempt }
+        } else {
+            Command::Stop { task: task_id, attempt, grace_s: 0.0 }
+        });
+    }
+
+    fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
+        let attempt = &self.attempts[&id];
+        let (job_ix, machine_ix, stop) = (attempt.job, attempt.machine, attempt.stop);
+        let ran = attempt.run_since.map(|since| now - since);
+        let (Some(job), Some(machine)) =
+            (self.jobs.get_mut(&job_ix), self.know.machines.get_mut(&machine_ix))
+        else {
+            return;
+        };
+        let outcome = match reported.cause {
+            Some(Cause::Done) => {
+                machine.failures = 0;
+                job.failures = 0;
+                job.failed_on.clear();
+                if let Some(ran) = ran {
+                    job.ran(ran);
+                    let ratio = (ran / job.spec.estimate_s.max(0.1)).clamp(0.1, 10.0);
+                    let learned = self.know.ratios.entry(job.spec.class.clone()).or_insert(ratio);
+                    *learned += (ratio - *learned) * 0.1;
+                }
+                Outcome::Done
+            }
+            Some(Cause::Stopped) if stop == Some(StopWhy::Slow) => {
+                if job.restarted.add(attempt.index) {
+                    self.commits.progress.insert((job_ix, attempt.index / crate::keys::CHUNK));
+                }
+                self.know.counts.restarts += 1;
+                Outcome::Restart
+            }
+            Some(Cause::Error) => {
+                self.know.counts.failures += 1;
+                job.failures += 1;
+                job.failed_on.insert(machine_ix);
+                let faulty_job = job.failed_on.len() >= 3;
+                if faulty_job {
+                    // It fails wherever it goes, so the machines are not to blame.
+                    job.hold_until = now + f64::from(1 << job.failures.min(6)).min(60.0);
+                    for other in &job.failed_on {
+                        if let Some(machine) = self.know.machines.get_mut(other) {
+                            machine.failures = 0;
+                        }
+                    }
+                    tracing::info!(job = %job.id, failures = job.failures, "a job fails on every machine");
+                } else {
+                    machine.failures += 1;
+                    machine.hold_until = now + 5.0;
+                    if machine.failures >= 2 && machine.delete.is_none() {
+                        tracing::info!(
+                            machine = machine.name,
+                            "a machine fails its tasks: returned"
+                        );
+                        machine.delete = Some("fails its tasks");
+                    }
+                }
+                Outcome::Again
+            }
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown | Cause::Other) | None => {
+                machine.hold_until = now + 2.0;
+                tracing::warn!(machine = machine.name, task = %reported.task, cause = ?reported.cause, "a start was refused");
+                Outcome::Again
+            }
+            Some(Cause::Stopped) => Outcome::Again,
+        };
+        self.release(id, outcome);
+    }
+}
+
+/// Whether an attempt that is not on its machine may be started there later.
+fn may_start_ever(leader: &Leader, id: u64) -> bool {
+    leader
+        .attempts
+        .get(&id)
+        .and_then(|a| leader.know.machines.get(&a.machine))
+        .is_some_and(|m| !m.leaving())
+}
--- /dev/null
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -0,0 +1,17 @@
+//! A controller node.
+//!
+//! [`node::Node`] is the whole of it without I/O: events and the time go in,
+//! actions come out, and the same events give the same actions. [`shell`] gives
+//! it sockets and a clock; the testkit gives it a simulated world instead.
+
+pub mod cloud;
+pub mod keys;
+pub mod leader;
+pub mod node;
+pub mod options;
+pub mod shell;
+pub mod world;
+
+mod api;
+mod checkin;
+mod election;
--- /dev/null
+++ b/crates/gladekeel-controller/src/node.rs
@@ -0,0 +1,882 @@
+//! A controller node without I/O.
+
+use crate::{
+    api::{self, Route, Verdict},
+    checkin::{Answer, Desk, Standing},
+    cloud::{CloudCall, CloudOutcome},
+    election::{Election, Seen},
+    keys::{self, LeaderRecord},
+    leader::Leader,
+    options::Options,
+    world::{Topic, World},
+};
+use gladekeel_store::{Bucket, Call, Change, Outcome, Replica};
+use gladekeel_wire::{
+    JobId,
+    job::{JobSpec, JobState, JobStatus},
+    mesh::{Header, Hello, Kind},
+    settings::{Params, Settings},
+    state::{Guard, Txn, Write},
+    worker::Report,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
+use zerocopy::{FromBytes, IntoBytes};
+
+pub use crate::api::Reply;
+
+/// Names a request of a user or worker until it is answered.
+pub type RequestId = u64;
+/// Names a call of this node until its answer is there.
+pub type CallId = u64;
+
+/// Users' requests that may wait at once; beyond it they are told to come back.
+const MAX_WAITING: usize = 400;
+/// How long a user's request waits for the store at most; users give up on a poll after 2 s.
+const WAIT_S: f64 = 1.5;
+/// How long a call to the state service may take.
+const STATE_S: f64 = 1.5;
+/// How long a call to the cloud may take.
+const CLOUD_S: f64 = 5.0;
+/// Without contact for this long, the state service counts as out of reach.
+const FRESH_S: f64 = 2.5;
+/// What is kept of the time until which a cancellation must have ended, for clocks
+/// that drift and for answers under way.
+const MARGIN_S: f64 = 3.0;
+/// A leader that hears no worker for this long while it should gives up.
+const DEAF_S: f64 = 8.0;
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A request arrived.
+    Http {
+        /// To be named in the reply.
+        id: RequestId,
+        /// Its method.
+        method: String,
+        /// Its path.
+        path: String,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// A call to the state service ended.
+    State {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: Outcome,
+    },
+    /// A call to the cloud ended.
+    Cloud {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: CloudOutcome,
+    },
+    /// A frame from another controller.
+    Mesh {
+        /// Its head.
+        header: Header,
+        /// What it is for.
+        kind: Kind,
+        /// Its payload.
+        payload: Vec<u8>,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Debug)]
+pub enum Action {
+    /// Answer a request.
+    Reply {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Call the state service.
+    State {
+        /// To be named in the event.
+        call: CallId,
+        /// The call.
+        request: Call,
+        /// How long to wait.
+        limit_s: f64,
+    },
+    /// Call the cloud.
+    Cloud {
+        /// To be named in the event.
+        call: CallId,
+        /// The call.
+        request: CloudCall,
+        /// How long to wait.
+        limit_s: f64,
+    },
+    /// Send a frame to another controller: its place among the settings' peers.
+    Mesh {
+        /// The peer.
+        peer: usize,
+        /// The frame.
+        frame: Vec<u8>,
+    },
+}
+
+/// Why the state service was called.
+#[derive(Debug)]
+enum Purpose {
+    Sync,
+    Load,
+    Users(Vec<UserWrite>),
+    Lead(u64),
+    Election,
+}
+
+/// A change that a user asked for.
+#[derive(Debug)]
+struct UserWrite {
+    request: RequestId,
+    id: JobId,
+    /// The job to create, or none to cancel.
+    spec: Option<Rc<JobSpec>>,
+    since: f64,
+    tries: u32,
+}
+
+/// A request that waits for the store to be read.
+#[derive(Debug)]
+struct Waiter {
+    request: RequestId,
+    id: JobId,
+    since: f64,
+    then: Then,
+}
+
+/// What follows the reading.
+#[derive(Debug)]
+enum Then {
+    /// Answer with the job's state, or 404.
+    Poll,
+    /// Answer with the job's state, or create it.
+    Create { spec: Rc<JobSpec>, tries: u32 },
+    /// Answer with the job's state, or that it can never run.
+    Refuse(String),
+    /// Cancel it.
+    Cancel { tries: u32 },
+    /// Answer with the job's state, or 503: the change had no answer.
+    Unknown,
+}
+
+/// A controller node.
+pub struct Node {
+    settings: Rc<Settings>,
+    params: Rc<Params>,
+    record: LeaderRecord,
+    place: u32,
+    peers: Vec<PeerView>,
+    rng: StdRng,
+    options: Options,
+    replica: Replica,
+    world: World,
+    calls: BTreeMap<CallId, (Purpose, Call, f64)>,
+    cloud_calls: BTreeMap<CallId, (u64, CloudCall)>,
+    next_call: CallId,
+    /// When the last answered reading of the store was sent.
+    contact: Option<f64>,
+    state_down: bool,
+    sync_flying: bool,
+    sync_wanted: bool,
+    sync_sent: f64,
+    sync_not_before: f64,
+    riding: Vec<Waiter>,
+    waiting: Vec<Waiter>,
+    writes: VecDeque<UserWrite>,
+    writes_flying: bool,
+    writes_not_before: f64,
+    election: Election,
+    leader: Option<Leader>,
+    desk: Desk,
+    requests: Bucket,
+    own_writes: Bucket,
+    leader_writes: Bucket,
+    cloud: Bucket,
+    resigned: u32,
+    hello_at: f64,
+    actions: Vec<Action>,
+    reign: u64,
+}
+
+/// What a node knows of another.
+#[derive(Debug, Clone, Default)]
+struct PeerView {
+    name: String,
+    heard_at: Option<f64>,
+    contact_ms: u32,
+    hears: u32,
+}
+
+impl Node {
+    /// A node that has just started. `seed` must differ from start to start: it
+    /// names the incarnation.
+    pub fn new(settings: Settings, seed: u64) -> Node {
+        let settings = Rc::new(settings);
+        let params = Rc::new(settings.params.clone());
+        let mut rng = StdRng::seed_from_u64(seed);
+        let run = rng.random();
+        let mut names: Vec<&str> = settings.peers.iter().map(|peer| peer.node.as_str()).collect();
+        names.push(&settings.node);
+        names.sort_unstable();
+        let place = names.iter().position(|name| *name == settings.node).unwrap_or(0) as u32;
+        let nodes = f64::from(params.count.max(1));
+        let share = params.state.rps / nodes;
+        Node {
+            record: LeaderRecord { node: settings.node.clone(), run },
+            place,
+            peers: settings
+                .peers
+                .iter()
+                .map(|peer| PeerView { name: peer.node.clone(), ..PeerView::default() })
+                .collect(),
+            rng,
+            options: Options::default(),
+            replica: Replica::default(),
+            world: World::default(),
+            calls: BTreeMap::new(),
+            cloud_calls: BTreeMap::new(),
+            next_call: 0,
+            contact: None,
+            state_down: false,
+            sync_flying: false,
+            sync_wanted: true,
+            sync_sent: -1.0,
+            sync_not_before: 0.0,
+            riding: Vec::new(),
+            waiting: Vec::new(),
+            writes: VecDeque::new(),
+            writes_flying: false,
+            writes_not_before: 0.0,
+            election: Election::default(),
+            leader: None,
+            desk: Desk::default(),
+            requests: Bucket::new(share * 0.6, share * 0.4),
+            own_writes: Bucket::new(
+                params.state.write_rps * 0.3 / nodes,
+                (params.state.write_rps * 0.5 / nodes).max(1.0),
+            ),
+            leader_writes: Bucket::new(params.state.write_rps * 0.6, params.state.write_rps * 0.6),
+            cloud: Bucket::new(params.cloud.rps * 0.8, (params.cloud.rps * 0.8).max(1.0)),
+            resigned: 0,
+            hello_at: 0.0,
+            actions: Vec::new(),
+            reign: 0,
+            settings,
+            params,
+        }
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn handle(&mut self, now: f64, event: Event) -> Vec<Action> {
+        match event {
+            Event::Http { id, method, path, body } => self.on_http(now, id, &method, &path, &body),
+            Event::State { call, outcome } => self.on_state(now, call, outcome),
+            Event::Cloud { call, outcome } => self.on_cloud(now, call, outcome),
+            Event::Mesh { header, kind, payload } => self.on_mesh(now, &header, kind, &payload),
+            Event::Tick => self.on_tick(now),
+        }
+        self.pump(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether this node leads now.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    fn fresh(&self, now: f64) -> bool {
+        self.contact.is_some_and(|at| now - at < FRESH_S)
+    }
+
+    /// Whether leases may be renewed: see `docs/safety.md`, "Keeping leases alive".
+    fn may_keep(&self, now: f64) -> bool {
+        let workers = &self.params.workers;
+        let bound = workers.cancel_s - workers.lease_s - MARGIN_S;
+        self.contact.is_some_and(|at| now - at < bound)
+    }
+
+    // ---- requests -------------------------------------------------------
+
+    fn reply(&mut self, id: RequestId, reply: Reply) {
+        self.actions.push(Action::Reply { id, reply });
+    }
+
+    fn on_http(&mut self, now: f64, id: RequestId, method: &str, path: &str, body: &[u8]) {
+        match Route::of(method, path) {
+            Route::Submit => self.on_submit(now, id, body),
+            Route::Poll(Some(job)) => self.on_poll(now, id, job),
+            Route::Cancel(Some(job)) => self.on_cancel(now, id, job),
+            Route::Poll(None) | Route::Cancel(None) => {
+                self.reply(id, Reply::error(404, "no such job"));
+            }
+            Route::Checkin => self.on_checkin(now, id, body),
+            Route::Up => {
+                let reply = if self.ready(now) {
+                    Reply::json(200, &serde_json::json!({"up": true}))
+                } else {
+                    Reply::later(503, 1, "no contact with the state service")
+                };
+                self.reply(id, reply);
+            }
+            Route::WrongMethod => self.reply(id, Reply::error(405, "method not allowed")),
+            Route::Unknown => self.reply(id, Reply::error(404, "no such path")),
+        }
+    }
+
+    /// Whether users should be sent here. Without contact to the state service
+    /// this node is of use only if the others are no better off.
+    fn ready(&self, now: f64) -> bool {
+        if self.replica.revision().is_none() {
+            return false;
+        }
+        if self.contact.is_some_and(|at| now - at < 3.0) {
+            return true;
+        }
+        let better = self
+            .peers
+            .iter()
+            .any(|peer| peer.heard_at.is_some_and(|at| now - at < 2.5) && peer.contact_ms < 2500);
+        !better
+    }
+
+    fn later(&mut self, id: RequestId, what: &str) {
+        self.reply(id, Reply::later(503, 1, what));
+    }
+
+    fn overloaded(&mut self, id: RequestId) -> bool {
+        let over = self.waiting.len() + self.riding.len() + self.writes.len() >= MAX_WAITING;
+        if over {
+            self.reply(id, Reply::later(503, 2, "too many requests are waiting"));
+        } else if self.state_down || self.replica.revision().is_none() {
+            // Known to be out of reach: said at once, rather than after a wait.
+            self.later(id, "the state service cannot be reached");
+            return true;
+        }
+        over
+    }
+
+    fn wait(&mut self, now: f64, request: RequestId, id: JobId, then: Then) {
+        self.waiting.push(Waiter { request, id, since: now, then });
+        self.sync_wanted = true;
+    }
+
+    fn on_poll(&mut self, now: f64, request: RequestId, id: JobId) {
+        if let Some(status) = self.final_status(&id) {
+            self.reply(request, Reply::json(200, &status));
+        } else if !self.overloaded(request) {
+            self.wait(now, request, id, Then::Poll);
+        }
+    }
+
+    /// A final state never changes, so it can be told without asking the store.
+    fn final_status(&self, id: &JobId) -> Option<JobStatus> {
+        self.world.fates.get(id)?;
+        api::status(&self.world, id)
+    }
+
+    fn on_submit(&mut self, now: f64, request: RequestId, body: &[u8]) {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(error) => return self.reply(request, Reply::error(400, error.to_string())),
+        };
+        let id = spec.id.clone();
+        if let Some(status) = self.final_status(&id) {
+            return self.reply(request, Reply::json(200, &status));
+        }
+        if self.overloaded(request) {
+            return;
+        }
+        if self.world.jobs.contains_key(&id) {
+            return self.wait(now, request, id, Then::Poll);
+        }
+        match api::judge(&self.params, &self.world, &spec) {
+            // A job that was accepted once is never refused later, so look first.
+            Verdict::Never(why) => self.wait(now, request, id, Then::Refuse(why)),
+            Verdict::Unknown => self.later(request, "machine types are not known yet"),
+            Verdict::Fine => {
+                let spec = Some(Rc::new(spec));
+                self.writes.push_back(UserWrite { request, id, spec, since: now, tries: 0 });
+            }
+        }
+    }
+
+    fn on_cancel(&mut self, now: f64, request: RequestId, id: JobId) {
+        if let Some(status) = self.final_status(&id) {
+            return self.reply(request, Reply::json(200, &status));
+        }
+        if self.overloaded(request) {
+            return;
+        }
+        if self.world.jobs.contains_key(&id) {
+            self.writes.push_back(UserWrite { request, id, spec: None, since: now, tries: 0 });
+        } else {
+            self.wait(now, request, id, Then::Cancel { tries: 0 });
+        }
+    }
+
+    /// The store was read after these requests came in.
+    fn serve(&mut self, now: f64, waiters: Vec<Waiter>) {
+        for Waiter { request, id, since, then } in waiters {
+            let status = api::status(&self.world, &id);
+            let open = status.as_ref().is_some_and(|status| !status.state.is_final());
+            match (then, status) {
+                (Then::Cancel { tries }, _) if open && tries < 3 => {
+                    self.writes.push_back(UserWrite { request, id, spec: None, since, tries });
+                }
+                (Then::Cancel { .. }, Some(_)) if open => self.later(request, "not cancelled yet"),
+                (_, Some(status)) => self.reply(request, Reply::json(200, &status)),
+                (Then::Create { spec, tries }, None) if tries < 3 && now - since < WAIT_S => {
+                    let spec = Some(spec);
+                    self.writes.push_back(UserWrite { request, id, spec, since, tries });
+                }
+                (Then::Create { .. } | Then::Unknown, None) => {
+                    self.later(request, "not accepted yet");
+                }
+                (Then::Refuse(why), None) => self.reply(request, Reply::error(422, why)),
+                (Then::Poll | Then::Cancel { .. }, None) => {
+                    self.reply(request, Reply::error(404, "no such job"));
+                }
+            }
+        }
+    }
+
+    fn users_written(&mut self, now: f64, writes: Vec<UserWrite>, outcome: Outcome) {
+        self.writes_flying = false;
+        match outcome {
+            Outcome::Committed(_) => {
+                for write in writes {
+                    let (status, state) = match write.spec {
+                        Some(_) => (201, JobState::Queued),
+                        None => (200, JobState::Cancelled),
+                    };
+                    let answer = JobStatus { id: write.id, state, done: None, running: None };
+                    self.reply(write.request, Reply::json(status, &answer));
+                }
+                self.sync_wanted |= self.leader.is_some();
+                self.nudge();
+            }
+            Outcome::Conflict(failed) => {
+                for mut write in writes {
+                    write.tries += 1;
+                    let own = [keys::job(&write.id), keys::fate(&write.id)];
+                    if !failed.is_empty() && !own.iter().any(|key| failed.contains(key)) {
+                        self.writes.push_front(write);
+                        continue;
+                    }
+                    let then = match write.spec {
+                        Some(spec) => Then::Create { spec, tries: write.tries },
+                        None => Then::Cancel { tries: write.tries },
+                    };
+                    self.waiting.push(Waiter {
+                        request: write.request,
+                        id: write.id,
+                        since: write.since,
+                        then,
+                    });
+                }
+                self.sync_wanted = true;
+            }
+            Outcome::Busy => {
+                self.own_writes.drain(now);
+                self.writes_not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
+                for write in writes.into_iter().rev() {
+                    self.writes.push_front(write);
+                }
+            }
+            Outcome::Refused | Outcome::NoLease => {
+                for write in writes {
+                    self.later(write.request, "the state service refuses");
+                }
+            }
+            _ => {
+                for write in writes {
+                    let then = match write.spec {
+                        // It may have been made; if it shows, it is accepted.
+                        Some(_) => Then::Unknown,
+                        None => Then::Cancel { tries: 3 },
+                    };
+                    self.waiting.push(Waiter {
+                        request: write.request,
+                        id: write.id,
+                        since: now,
+                        then,
+                    });
+                }
+                self.sync_wanted = true;
+            }
+        }
+    }
+
+    fn on_checkin(&mut self, now: f64, id: RequestId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => return self.reply(id, Reply::error(400, error.to_string())),
+        };
+        let elsewhere = self
+            .world
+            .leader
+            .as_ref()
+            .map(|(record, _)| record.node.as_str())
+            .filter(|node| *node != self.settings.node);
+        let standing = Standing {
+            now,
+            world: &self.world,
+            leader_elsewhere: elsewhere,
+            may_keep: self.may_keep(now),
+            fresh: self.fresh(now),
+        };
+        let reply = match self.desk.answer(&standing, self.leader.as_mut(), &report) {
+            Answer::Commands(answer) => Reply::json(200, &answer),
+            Answer::Elsewhere(redirect) => Reply::json(421, &redirect),
+            Answer::NotEntitled => Reply::later(503, 1, "not entitled to act"),
+        };
+        self.reply(id, reply);
+    }
+
+    // ---- the state service ----------------------------------------------
+
+    fn call_state(&mut self, now: f64, purpose: Purpose, request: Call) {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(call, (purpose, request.clone(), now));
+        self.actions.push(Action::State { call, request, limit_s: STATE_S });
+    }
+
+    fn on_state(&mut self, now: f64, call: CallId, outcome: Outcome) {
+        let Some((purpose, request, sent_at)) = self.calls.remove(&call) else { return };
+        match purpose {
+            Purpose::Sync | Purpose::Load => self.on_read(now, sent_at, outcome),
+            Purpose::Users(writes) => self.users_written(now, writes, outcome),
+            Purpose::Lead(token) => {
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token)
+                    && let Call::Commit(txn) = &request
+                {
+                    if outcome == Outcome::Busy {
+                        self.leader_writes.drain(now);
+                    }
+                    self.sync_wanted |= leader.commit_answered(now, txn, &outcome);
+                }
+            }
+            Purpose::Election => {
+                self.sync_wanted |= self.election.answered(now, sent_at, &request, &outcome);
+            }
+        }
+    }
+
+    fn on_read(&mut self, now: f64, sent_at: f64, outcome: Outcome) {
+        self.sync_flying = false;
+        match outcome {
+            Outcome::Rows(rows) => {
+                let changes = self.replica.page(rows);
+                self.apply(now, &changes);
+                self.sync_wanted = true;
+            }
+            Outcome::Events(events) => {
+                let changes = self.replica.follow(events);
+                self.contact = Some(sent_at);
+                self.state_down = false;
+                self.apply(now, &changes);
+                self.lead_or_follow(now);
+                let riding = std::mem::take(&mut self.riding);
+                self.serve(now, riding);
+            }
+            Outcome::TooOld => {
+                self.replica.reload();
+                self.wait_again();
+            }
+            Outcome::Busy => {
+                self.sync_not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
+                self.wait_again();
+            }
+            _ => {
+                self.state_down = true;
+                self.sync_not_before = now + 0.25;
+                let waiters = std::mem::take(&mut self.riding);
+                for waiter in waiters.into_iter().chain(std::mem::take(&mut self.waiting)) {
+                    self.later(waiter.request, "the state service cannot be reached");
+                }
+                for write in std::mem::take(&mut self.writes) {
+                    self.later(write.request, "the state service cannot be reached");
+                }
+            }
+        }
+    }
+
+    fn wait_again(&mut self) {
+        let riding = std::mem::take(&mut self.riding);
+        self.waiting.splice(0..0, riding);
+        self.sync_wanted = true;
+    }
+
+    fn apply(&mut self, now: f64, changes: &[Change]) {
+        for change in changes {
+            match self.world.apply(change) {
+                Topic::Job(id) => {
+                    if let Some(leader) = &mut self.leader {
+                        if change.now.is_some() {
+                            leader.learn_job(&self.world, &id, now);
+                        } else {
+                            leader.forget_job(&id);
+                        }
+                    }
+                }
+                Topic::Fate(id) => {
+                    if let Some(leader) = &mut self.leader {
+                        leader.learn_fate(&self.world, &id);
+                    }
+                }
+                Topic::Leader | Topic::Other => {}
+            }
+        }
+    }
+
+    fn seen(&self) -> Seen {
+        match &self.world.leader {
+            None => Seen::Nobody,
+            Some((record, _)) if *record == self.record => Seen::Me,
+            Some((record, version)) if record.node == self.record.node => Seen::Ghost(*version),
+            Some(_) => Seen::Other,
+        }
+    }
+
+    /// The store was read: begin to lead, go on under a new token, or stop.
+    fn lead_or_follow(&mut self, now: f64) {
+        let token = match &self.world.leader {
+            Some((record, token)) if *record == self.record => *token,
+            _ => {
+                if let Some(leader) = self.leader.take() {
+                    tracing::warn!(token = leader.token, "no longer leading");
+                }
+                return;
+            }
+        };
+        if self.leader.as_ref().is_some_and(|leader| leader.token == token) {
+            return;
+        }
+        // The same incarnation under a higher token: what it knows of machines holds.
+        let know = self.leader.take().map(Leader::into_knowledge);
+        // Answers of the cloud are of use to the same knowledge that asked.
+        self.reign += u64::from(know.is_none());
+        let salt = self.rng.random();
+        self.leader = Some(Leader::new(&self.world, token, now, self.params.clone(), salt, know));
+    }
+
+    // ---- the cloud ------------------------------------------------------
+
+    fn on_cloud(&mut self, now: f64, call: CallId, outcome: CloudOutcome) {
+        let Some((reign, request)) = self.cloud_calls.remove(&call) else { return };
+        if let Some(leader) = &mut self.leader
+            && reign == self.reign
+        {
+            leader.cloud_answered(now, &request, outcome);
+        }
+    }
+
+    // ---- other controllers ----------------------------------------------
+
+    fn send(&mut self, peer: usize, kind: Kind, status: u16, call: u64, payload: &[u8]) {
+        let header = Header::new(kind, status, call, self.place, payload.len());
+        let mut frame = header.as_bytes().to_vec();
+        frame.extend_from_slice(payload);
+        self.actions.push(Action::Mesh { peer, frame });
+    }
+
+    fn nudge(&mut self) {
+        let leader = self.world.leader.as_ref().map(|(record, _)| record.node.clone());
+        let peer = leader.and_then(|name| self.peers.iter().position(|peer| peer.name == name));
+        if let Some(peer) = peer {
+            self.send(peer, Kind::Nudge, 0, 0, &[]);
+        }
+    }
+
+    fn on_mesh(&mut self, now: f64, header: &Header, kind: Kind, payload: &[u8]) {
+        let mut names: Vec<&str> = self.settings.peers.iter().map(|p| p.node.as_str()).collect();
+        names.push(&self.settings.node);
+        names.sort_unstable();
+        let Some(name) = names.get(header.from.get() as usize).map(|name| (*name).to_owned())
+        else {
+            return;
+        };
+        match kind {
+            Kind::Nudge => self.sync_wanted = true,
+            Kind::Hello => {
+                let Ok(hello) = Hello::read_from_bytes(payload) else { return };
+                if let Some(peer) = self.peers.iter_mut().find(|peer| peer.name == name) {
+                    peer.heard_at = Some(now);
+                    peer.contact_ms = hello.contact_ms.get();
+                    peer.hears = hello.hears.get();
+                }
+            }
+            Kind::Relay | Kind::Relayed => {}
+        }
+    }
+
+    // ---- time -----------------------------------------------------------
+
+    fn on_tick(&mut self, now: f64) {
+        let late = |waiter: &Waiter| now - waiter.since >= WAIT_S;
+        let (gone, waiting): (Vec<Waiter>, Vec<Waiter>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(late);
+        self.waiting = waiting;
+        for waiter in gone {
+            self.later(waiter.request, "the state service is slow");
+        }
+        while self.writes.front().is_some_and(|write| now - write.since >= WAIT_S) {
+            if let Some(write) = self.writes.pop_front() {
+                self.later(write.request, "the state service is slow");
+            }
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.tick(now, &self.options);
+            self.resign_if_deaf(now);
+        }
+        if now - self.hello_at >= 1.0 {
+            self.hello_at = now;
+            let contact = self.contact.map_or(u32::MAX, |at| ((now - at) * 1000.0) as u32);
+            let hears = self.leader.as_ref().map_or(0, |leader| leader.heard(now, 5.0).0 as u32);
+            let hello = Hello {
+                token: self.world.token.into(),
+                contact_ms: contact.into(),
+                hears: hears.into(),
+            };
+            for peer in 0..self.peers.len() {
+                self.send(peer, Kind::Hello, 0, 0, hello.as_bytes());
+            }
+        }
+    }
+
+    /// A leader that hears none of its workers cannot do its work; another may.
+    fn resign_if_deaf(&mut self, now: f64) {
+        let Some(leader) = &self.leader else { return };
+        let (heard, all) = leader.heard(now, DEAF_S);
+        if heard > 0 {
+            self.resigned = 0;
+        }
+        let patience = DEAF_S * f64::from(1 << self.resigned.min(4));
+        if all == 0 || heard > 0 || now - leader.since() < patience || self.peers.is_empty() {
+            return;
+        }
+        if let Some(call) = self.election.resign(now, 6.0 * f64::from(1 << self.resigned.min(4))) {
+            tracing::warn!(machines = all, "no worker is heard: resigning");
+            self.resigned += 1;
+            self.leader = None;
+            self.call_state(now, Purpose::Election, call);
+            self.sync_wanted = true;
+        }
+    }
+
+    /// Sends whatever is due.
+    fn pump(&mut self, now: f64) {
+        self.pump_sync(now);
+        self.pump_writes(now);
+        if self.fresh(now) {
+            let renew = self.leader.as_ref().filter(|l| l.wants_fence()).map(|l| l.token);
+            let seen = self.seen();
+            if let Some(call) = self.election.next(now, seen, &self.record, renew) {
+                self.call_state(now, Purpose::Election, call);
+            }
+        }
+        if let Some(leader) = &mut self.leader {
+            let token = leader.token;
+            if let Some(txn) = leader.next_commit(now, &mut self.leader_writes) {
+                self.call_state(now, Purpose::Lead(token), Call::Commit(txn));
+            }
+        }
+        while let Some(leader) = &mut self.leader
+            && self.cloud.has(now, 1.0)
+        {
+            let Some(request) = leader.next_cloud(now) else { break };
+            self.cloud.take(now, 1.0);
+            let call = self.next_call;
+            self.next_call += 1;
+            self.cloud_calls.insert(call, (self.reign, request.clone()));
+            self.actions.push(Action::Cloud { call, request, limit_s: CLOUD_S });
+        }
+    }
+
+    fn pump_sync(&mut self, now: f64) {
+        if self.sync_flying || now < self.sync_not_before {
+            return;
+        }
+        let idle_s = if self.leader.is_some() { 0.25 } else { 0.4 };
+        let since = now - self.sync_sent;
+        let due = self.sync_wanted || !self.waiting.is_empty() || since >= idle_s;
+        if !due || !self.requests.take(now, 1.0) {
+            return;
+        }
+        self.sync_flying = true;
+        self.sync_wanted = false;
+        self.sync_sent = now;
+        let prefix = keys::ALL.to_owned();
+        match self.replica.revision() {
+            Some(since) => {
+                // Everyone who waits by now is served by this one reading.
+                self.riding = std::mem::take(&mut self.waiting);
+                self.call_state(now, Purpose::Sync, Call::Follow { prefix, since });
+            }
+            None => {
+                let after = self.replica.next_page();
+                self.call_state(now, Purpose::Load, Call::List { prefix, after });
+            }
+        }
+    }
+
+    fn pump_writes(&mut self, now: f64) {
+        if self.writes_flying || self.writes.is_empty() || now < self.writes_not_before {
+            return;
+        }
+        if !self.own_writes.has(now, 1.0) {
+            return;
+        }
+        let most = self.params.state.txn_ops.min(self.own_writes.level(now).max(1.0) as usize);
+        let (mut txn, mut batch, mut bytes) = (Txn::default(), Vec::new(), 0);
+        let mut kept = VecDeque::new();
+        while let Some(write) = self.writes.pop_front() {
+            // One change of a job at a time: two in one transaction would clash.
+            let clash = batch.iter().any(|other: &UserWrite| other.id == write.id);
+            if clash || batch.len() >= most || bytes > 48 * 1024 {
+                kept.push_back(write);
+                continue;
+            }
+            let (job, fate) = (keys::job(&write.id), keys::fate(&write.id));
+            txn.guards.push(Guard { key: fate.clone(), version: 0 });
+            match &write.spec {
+                Some(spec) => {
+                    let value = serde_json::to_value(&**spec).expect("wire types always serialise");
+                    bytes += value.to_string().len() + 400;
+                    txn.guards.push(Guard { key: job.clone(), version: 0 });
+                    txn.writes.push(Write::Put { key: job, value, lease: None });
+                }
+                None => {
+                    let version = self.world.jobs.get(&write.id).map_or(0, |job| job.version);
+                    let value = serde_json::to_value(JobState::Cancelled)
+                        .expect("wire types always serialise");
+                    bytes += 400;
+                    txn.guards.push(Guard { key: job, version });
+                    txn.writes.push(Write::Put { key: fate, value, lease: None });
+                }
+            }
+            batch.push(write);
+        }
+        self.writes = kept;
+        if batch.is_empty() {
+            return;
+        }
+        self.own_writes.take(now, batch.len() as f64);
+        self.writes_flying = true;
+        self.call_state(now, Purpose::Users(batch), Call::Commit(txn));
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-sched/src/share.rs
@@ -0,0 +1,114 @@
+//! Virtual sizes and the division of room (the thesis's Pseudocode 1 with its floors).
+
+/// A job as the division sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claim {
+    /// Tasks that have not completed, running ones included.
+    pub remaining: u32,
+    /// Room that one task takes, as a part of all room.
+    pub task: f64,
+}
+
+/// What is open to measurement in the design.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Hopper {
+    /// Tail of the Pareto distribution of run times.
+    pub beta: f64,
+    /// Part of an equal share by which a floor may fall below it.
+    pub epsilon: f64,
+}
+
+impl Default for Hopper {
+    fn default() -> Self {
+        Hopper { beta: 1.2, epsilon: 0.1 }
+    }
+}
+
+impl Hopper {
+    /// V = 2/β × remaining tasks.
+    pub fn virtual_size(&self, remaining: u32) -> f64 {
+        2.0 / self.beta * f64::from(remaining)
+    }
+
+    /// Divides `room` between jobs; returns each one's part, in the unit of `room`.
+    ///
+    /// Sizes count in tasks for the order of jobs, and in the room that these
+    /// tasks take for how far the room reaches, so that with tasks of one size
+    /// this is the thesis's rule to the letter.
+    pub fn divide(&self, claims: &[Claim], room: f64) -> Vec<f64> {
+        let wants: Vec<f64> =
+            claims.iter().map(|c| self.virtual_size(c.remaining) * c.task).collect();
+        let total: f64 = wants.iter().sum();
+        if total <= 0.0 || room <= 0.0 {
+            return vec![0.0; claims.len()];
+        }
+        if total <= room {
+            return wants.iter().map(|want| room * want / total).collect();
+        }
+        let floor = room / claims.len() as f64 * (1.0 - self.epsilon);
+        let mut parts: Vec<f64> = wants.iter().map(|want| want.min(floor)).collect();
+        let mut left = room - parts.iter().sum::<f64>();
+        for index in self.order(claims) {
+            let more = (wants[index] - parts[index]).clamp(0.0, left.max(0.0));
+            parts[index] += more;
+            left -= more;
+        }
+        parts
+    }
+
+    /// Indices of the jobs, smallest virtual size first; ties keep their order.
+    pub fn order(&self, claims: &[Claim]) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..claims.len()).collect();
+        order.sort_by_key(|index| claims[*index].remaining);
+        order
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn jobs(sizes: &[u32]) -> Vec<Claim> {
+        sizes.iter().map(|n| Claim { remaining: *n, task: 1.0 }).collect()
+    }
+
+    #[test]
+    fn both_regimes_of_the_thesis() {
+        let hopper = Hopper { beta: 1.0, epsilon: 1.0 };
+        // Short: V = 4, 8, 20 of 16; the smallest get theirs, the last what is left.
+        assert_eq!(hopper.divide(&jobs(&[10, 2, 4]), 16.0), [4.0, 4.0, 8.0]);
+        // Enough: in proportion to V.
+        assert_eq!(hopper.divide(&jobs(&[1, 3]), 16.0), [4.0, 12.0]);
+        // Floors: 16/2 × 0.9 for the large job although the small one wants 12.
+        let floors = Hopper { beta: 1.0, epsilon: 0.1 };
+        let parts = floors.divide(&jobs(&[6, 100]), 16.0);
+        assert!((parts[0] - 8.8).abs() < 1e-9 && (parts[1] - 7.2).abs() < 1e-9, "{parts:?}");
+    }
+
+    proptest! {
+        #[test]
+        fn shares_keep_within_room_and_above_floors(
+            jobs in prop::collection::vec((0u32..200, 0.001f64..0.5), 1..30),
+            beta in 1.01f64..2.0, epsilon in 0.0f64..1.0, room in 0.0f64..50.0,
+        ) {
+            let claims: Vec<Claim> =
+                jobs.iter().map(|(remaining, task)| Claim { remaining: *remaining, task: *task }).collect();
+            let hopper = Hopper { beta, epsilon };
+            let parts = hopper.divide(&claims, room);
+            prop_assert!(parts.iter().sum::<f64>() <= room + 1e-6);
+            let floor = room / claims.len() as f64 * (1.0 - epsilon);
+            let wants: Vec<f64> =
+                claims.iter().map(|c| hopper.virtual_size(c.remaining) * c.task).collect();
+            for (part, want) in parts.iter().zip(&wants) {
+                prop_assert!(*part >= 0.0);
+                prop_assert!(*part + 1e-9 >= want.min(floor));
+                if wants.iter().sum::<f64>() <= room {
+                    prop_assert!(*part + 1e-9 >= *want, "enough for all");
+                } else {
+                    prop_assert!(*part <= want + 1e-9, "short: nobody gets more than its size");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/gladekeel-wire/src/job.rs
@@ -0,0 +1,225 @@
+//! What users send and get.
+
+use crate::JobId;
+use serde::{Deserialize, Serialize};
+
+/// The most tasks that a job may have.
+pub const MAX_TASKS: u32 = 100_000;
+
+/// How urgent a job is. Ordered: a greater value goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// Runs when nothing else wants the room.
+    #[serde(rename = "idle")]
+    Low,
+    /// The ordinary class.
+    Normal,
+    /// Ahead of normal work.
+    High,
+    /// Ahead of everything.
+    Production,
+}
+
+/// The shape of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Independent tasks, each of which runs to completion.
+    Array,
+}
+
+/// A job as its user describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The user's id for the job.
+    #[serde(rename = "name_id")]
+    pub id: JobId,
+    /// The class of jobs that it belongs to.
+    #[serde(rename = "rig")]
+    pub class: String,
+    /// The team whose guarantee and limit apply.
+    #[serde(rename = "crew")]
+    pub team: String,
+    /// The shape of the job.
+    #[serde(rename = "build")]
+    pub kind: Kind,
+    /// How urgent it is.
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    /// The number of tasks.
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
+    /// CPUs of each task.
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    /// GPUs of each task.
+    pub gpus: f64,
+    /// Memory of each task, in GB.
+    #[serde(rename = "ram_gb")]
+    pub memory_gb: f64,
+    /// The image that a machine needs first.
+    #[serde(rename = "pattern")]
+    pub image: String,
+    /// The image's size.
+    #[serde(rename = "size_gb")]
+    pub image_gb: f64,
+    /// Allowed machine types, or none for any.
+    #[serde(rename = "hulls", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone, if any.
+    #[serde(rename = "yard", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    /// Whether all tasks must be in one zone.
+    pub one_zone: bool,
+    /// Whether at most half of the tasks may be in one zone.
+    #[serde(rename = "scatter")]
+    pub spread: bool,
+    /// Whether spot machines may be used.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// The owner's estimate of a task's run time, in seconds.
+    #[serde(rename = "reckon_s")]
+    pub estimate_s: f64,
+    /// Progress between checkpoints; 0 if the task never saves.
+    #[serde(rename = "mark_s")]
+    pub checkpoint_s: f64,
+    /// Time needed to save when stopped.
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    /// When the job should be complete, from its submission.
+    #[serde(rename = "launch_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+/// Why a submission is malformed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BadJob {
+    /// Not the JSON of a job.
+    #[error("not a job: {0}")]
+    Json(String),
+    /// A field holds something that cannot be meant.
+    #[error("field {0} is out of range")]
+    Field(&'static str),
+}
+
+impl JobSpec {
+    /// Reads and checks a submission.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, BadJob> {
+        // serde would take an array for a struct; the protocol wants an object.
+        if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+            return Err(BadJob::Json("not an object".into()));
+        }
+        let spec: JobSpec =
+            serde_json::from_slice(body).map_err(|e| BadJob::Json(e.to_string()))?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    /// Checks every value's range.
+    pub fn check(&self) -> Result<(), BadJob> {
+        let amount = |v: f64| v.is_finite() && (0.0..=1e9).contains(&v);
+        let text = |t: &str| !t.is_empty() && t.len() <= 200 && !t.chars().any(char::is_control);
+        let require = |ok: bool, name| if ok { Ok(()) } else { Err(BadJob::Field(name)) };
+        require((1..=MAX_TASKS).contains(&self.tasks), "pieces")?;
+        require(amount(self.cpus) && self.cpus > 0.0, "vcpus")?;
+        require(amount(self.gpus), "gpus")?;
+        require(amount(self.memory_gb), "ram_gb")?;
+        require(amount(self.image_gb), "size_gb")?;
+        require(amount(self.estimate_s), "reckon_s")?;
+        require(amount(self.checkpoint_s), "mark_s")?;
+        require(amount(self.save_s), "stow_s")?;
+        require(self.deadline_s.is_none_or(amount), "launch_s")?;
+        require(text(&self.class), "rig")?;
+        require(text(&self.team), "crew")?;
+        require(text(&self.image), "pattern")?;
+        require(self.zone.as_deref().is_none_or(text), "yard")?;
+        let types_fine = |types: &Vec<String>| types.len() <= 200 && types.iter().all(|t| text(t));
+        require(self.types.as_ref().is_none_or(types_fine), "hulls")
+    }
+}
+
+/// The state of a job as its user sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobState {
+    /// No task runs.
+    Queued,
+    /// Some task runs.
+    Running,
+    /// Every task has completed.
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "aborted")]
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether the state can never change again.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Done | JobState::Cancelled)
+    }
+}
+
+/// The answer to a submission, poll or cancellation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// The job.
+    #[serde(rename = "name_id")]
+    pub id: JobId,
+    /// Its state.
+    #[serde(rename = "trim")]
+    pub state: JobState,
+    /// Completed tasks, for display.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    /// Running tasks, for display.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// An error in words, as the body of 4xx and 5xx answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// What is wrong.
+    pub error: String,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name_id":"job-000412","rig":"train","crew":"vision","build":"array",
+        "urgency":"high","pieces":16,"vcpus":8.0,"gpus":1.0,"ram_gb":64.0,"pattern":"img-07",
+        "size_gb":6.2,"hulls":["g8"],"yard":null,"one_zone":true,"scatter":false,"driftwood":true,
+        "reckon_s":240.0,"mark_s":30.0,"stow_s":4.0,"launch_s":900.0,"new":1}"#;
+
+    #[test]
+    fn submissions_are_checked() {
+        let spec = JobSpec::parse(GOOD.as_bytes()).unwrap();
+        assert_eq!((spec.tasks, spec.priority, spec.zone), (16, Priority::High, None));
+        for (from, to) in [
+            ("\"pieces\":16", "\"pieces\":0"),
+            ("\"pieces\":16", "\"pieces\":-1"),
+            ("\"pieces\":16", "\"pieces\":100001"),
+            ("\"pieces\":16", "\"pieces\":\"16\""),
+            ("\"vcpus\":8.0", "\"vcpus\":0"),
+            ("\"vcpus\":8.0", "\"vcpus\":-8.0"),
+            ("\"vcpus\":8.0", "\"vcpus\":1e300"),
+            ("\"vcpus\":8.0", "\"vcpus\":NaN"),
+            ("\"vcpus\":8.0,", ""),
+            ("job-000412", "job/000412"),
+            ("\"array\"", "\"service\""),
+            ("\"high\"", "\"highest\""),
+            ("\"scatter\":false", "\"scatter\":0"),
+            ("\"reckon_s\":240.0", "\"reckon_s\":-1"),
+        ] {
+            let text = GOOD.replace(from, to);
+            assert_ne!(text, GOOD, "{from}");
+            assert!(JobSpec::parse(text.as_bytes()).is_err(), "{to}");
+        }
+        for text in ["", "[]", "null", "{", "\"job\""] {
+            assert!(JobSpec::parse(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-wire/src/settings.rs
@@ -0,0 +1,218 @@
+//! The settings file that the platform hands to every controller.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// The whole file. Unknown fields are ignored.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Settings {
+    /// This node's name.
+    pub node: String,
+    /// This node's zone.
+    #[serde(rename = "site")]
+    pub zone: String,
+    /// Where users, workers and health checks reach this node.
+    #[serde(rename = "bind")]
+    pub listen: SocketAddr,
+    /// Where the other controllers reach it.
+    #[serde(rename = "mesh_addr")]
+    pub peer_listen: SocketAddr,
+    /// The other controllers.
+    #[serde(rename = "siblings", default)]
+    pub peers: Vec<Peer>,
+    /// Services that controllers use.
+    pub services: Services,
+    /// What is the same for every node.
+    #[serde(rename = "deployment")]
+    pub params: Params,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub node: String,
+    /// Its zone.
+    #[serde(rename = "site")]
+    pub zone: String,
+    /// Its address for other controllers.
+    #[serde(rename = "peer_addr")]
+    pub addr: SocketAddr,
+}
+
+/// Addresses of the services.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Services {
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// What is the same for every node.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Params {
+    /// Number of controllers.
+    pub count: u32,
+    /// Zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Bound of the time of day's error.
+    #[serde(rename = "time_bound_ms", default)]
+    pub clock_off_ms: f64,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// The users' aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// How workers behave.
+    pub workers: Workers,
+    /// Limits of the state service.
+    pub state: State,
+    /// Limits of the cloud.
+    pub cloud: Cloud,
+    /// Limits of this process.
+    pub limits: Limits,
+}
+
+/// A team's guarantee and limit.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// CPUs it may use at most.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// GPUs it may use at most.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// One of the users' aims.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Objective {
+    /// What it is about.
+    pub kind: String,
+    /// The class of jobs, if about one.
+    pub class: Option<String>,
+    /// The time allowed.
+    pub within_s: Option<f64>,
+    /// The part that must be within it.
+    pub share: Option<f64>,
+    /// Multiple of the deadline.
+    pub times: Option<f64>,
+}
+
+/// How workers behave.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Workers {
+    /// Time between reports.
+    pub report_s: f64,
+    /// Their lease.
+    pub lease_s: f64,
+    /// Time within which a cancelled job's tasks must be gone.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service, for all nodes together.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct State {
+    /// Requests per second.
+    pub rps: f64,
+    /// Puts and deletes per second.
+    pub write_rps: f64,
+    /// KiB of a value.
+    pub value_kb: f64,
+    /// Puts and deletes of a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Cloud {
+    /// Requests per second, for all nodes together.
+    pub rps: f64,
+    /// How late the machine list is.
+    pub list_lag_s: f64,
+}
+
+/// Limits of this process.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Limits {
+    /// Part of a core.
+    pub cpu_share: f64,
+    /// Memory in MB.
+    #[serde(rename = "ram_mb")]
+    pub memory_mb: f64,
+    /// Sockets.
+    pub max_connections: usize,
+}
+
+/// A value that cannot be meant.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[error("{field}: {what}")]
+pub struct BadSetting {
+    /// Where it stands, as in the file.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl Settings {
+    /// Checks what a type cannot.
+    pub fn check(&self) -> Result<(), BadSetting> {
+        let require = |ok: bool, field: &str, what: &str| {
+            if ok { Ok(()) } else { Err(BadSetting { field: field.into(), what: what.into() }) }
+        };
+        let positive = |value: f64, field: &str| {
+            require(value.is_finite() && value > 0.0, field, "must be a number above 0")
+        };
+        let p = &self.params;
+        require(!self.node.is_empty(), "node", "must not be empty")?;
+        require(
+            self.peers.iter().all(|peer| peer.node != self.node),
+            "siblings",
+            "must not name this node",
+        )?;
+        require(
+            p.count as usize == self.peers.len() + 1,
+            "deployment.count",
+            "must be the number of siblings and this node",
+        )?;
+        for team in &p.teams {
+            let amount = |v: f64| v.is_finite() && v >= 0.0;
+            let fine = amount(team.cpus)
+                && amount(team.cpus_max)
+                && amount(team.gpus)
+                && amount(team.gpus_max);
+            require(fine, "deployment.teams", "amounts must be numbers, 0 or above")?;
+        }
+        positive(p.workers.report_s, "deployment.workers.report_s")?;
+        positive(p.workers.lease_s, "deployment.workers.lease_s")?;
+        positive(p.workers.cancel_s, "deployment.workers.cancel_s")?;
+        positive(p.state.rps, "deployment.state.rps")?;
+        positive(p.state.write_rps, "deployment.state.write_rps")?;
+        positive(p.state.value_kb, "deployment.state.value_kb")?;
+        require(p.state.txn_ops >= 1, "deployment.state.txn_ops", "must be at least 1")?;
+        positive(p.cloud.rps, "deployment.cloud.rps")?;
+        require(
+            p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0,
+            "deployment.cloud.list_lag_s",
+            "must be a number, 0 or above",
+        )?;
+        positive(p.limits.cpu_share, "deployment.limits.cpu_share")?;
+        positive(p.limits.memory_mb, "deployment.limits.ram_mb")?;
+        require(
+            p.limits.max_connections >= 32,
+            "deployment.limits.max_connections",
+            "must be at least 32",
+        )
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-wire/src/worker.rs
@@ -0,0 +1,193 @@
+//! What workers and controllers say to each other.
+
+use crate::TaskId;
+use serde::{Deserialize, Serialize};
+
+/// The state of a task on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskState {
+    /// Waiting for its image.
+    #[serde(rename = "pulling")]
+    Fetching,
+    /// Running.
+    Running,
+    /// Told to stop, saving.
+    #[serde(rename = "flushing")]
+    Saving,
+    /// Ended; see the cause.
+    Exited,
+    /// A state that this version does not know; it occupies the machine.
+    #[serde(other)]
+    Other,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Failed.
+    Error,
+    /// Refused: no room on the machine.
+    #[serde(rename = "full")]
+    NoRoom,
+    /// Refused: the task is there under another attempt.
+    Busy,
+    /// Refused: no such task.
+    Unknown,
+    /// A cause that this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// One task in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// The task.
+    #[serde(rename = "piece")]
+    pub task: TaskId,
+    /// Its attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// Its state.
+    #[serde(rename = "trim")]
+    pub state: TaskState,
+    /// Why it ended, once it has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    /// Whether it saved its progress when stopped.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The machine.
+    #[serde(rename = "berth")]
+    pub machine: String,
+    /// The worker's own address.
+    #[serde(rename = "endpoint")]
+    pub addr: String,
+    /// The machine's type.
+    #[serde(rename = "hull")]
+    pub machine_type: String,
+    /// The machine's zone.
+    #[serde(rename = "yard")]
+    pub zone: String,
+    /// Whether it is a spot machine.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// The session; rises each time the worker's lease runs out.
+    #[serde(rename = "watch")]
+    pub session: u64,
+    /// Orders the messages of a session.
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    /// The highest token the worker has seen.
+    #[serde(rename = "helm", default)]
+    pub token: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(rename = "warning_s", default, skip_serializing_if = "Option::is_none")]
+    pub notice_s: Option<f64>,
+    /// Every task on the machine.
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "order", rename_all = "lowercase")]
+pub enum Command {
+    /// Start a task.
+    #[serde(rename = "run")]
+    Start {
+        /// The task.
+        #[serde(rename = "piece")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    /// Stop a task.
+    #[serde(rename = "halt")]
+    Stop {
+        /// The task.
+        #[serde(rename = "piece")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+        /// How long the task may take to save.
+        #[serde(rename = "slack_s")]
+        grace_s: f64,
+    },
+    /// Remove an exited task from the reports.
+    Forget {
+        /// The task.
+        #[serde(rename = "piece")]
+        task: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// The token under which the commands are given.
+    #[serde(rename = "helm")]
+    pub token: u64,
+    /// Commands, executed in order.
+    #[serde(rename = "orders")]
+    pub commands: Vec<Command>,
+}
+
+/// The body of a 421: where to report instead.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    /// The node to report to, if known.
+    #[serde(rename = "harbor", default, skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<String>,
+}
+
+/// The body of a direct command.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Direct {
+    /// The token under which the commands are given.
+    #[serde(rename = "helm")]
+    pub token: u64,
+    /// The session they are meant for.
+    #[serde(rename = "watch")]
+    pub session: u64,
+    /// The commands.
+    #[serde(rename = "orders")]
+    pub commands: Vec<Command>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_and_commands_have_the_protocols_names() {
+        let report: Report = serde_json::from_str(
+            r#"{"berth":"n-000231","endpoint":"10.1.0.232:9000","hull":"g8","yard":"a","driftwood":true,
+             "watch":1,"tally":88,"helm":41,"warning_s":null,"later":true,
+             "pieces":[{"piece":"job-000412/3","try":2,"trim":"running"},
+              {"piece":"job-000398/0","try":1,"trim":"exited","cause":"done"}]}"#,
+        )
+        .unwrap();
+        assert_eq!(report.tasks[1].cause, Some(Cause::Done));
+        let stop = Command::Stop { task: "job-1/1".parse().unwrap(), attempt: 1, grace_s: 10.0 };
+        assert_eq!(
+            serde_json::to_string(&stop).unwrap(),
+            r#"{"order":"halt","piece":"job-1/1","try":1,"slack_s":10.0}"#
+        );
+    }
+}
