--- a/crates/gladekeel-store/src/replica.rs
+++ b/crates/gladekeel-store/src/replica.rs
@@ -101,10 +101,10 @@
                     self.rows.insert(key.clone(), (value.clone(), version));
                     changes.push(Change { key, now: Some((value, version)) });
                 }
-                Event::Delete { key, version } if version > self.version(&key) => {
-                    if self.rows.remove(&key).is_some() {
-                        changes.push(Change { key, now: None });
-                    }
+                Event::Delete { key, version }
+                    if version > self.version(&key) && self.rows.remove(&key).is_some() =>
+                {
+                    changes.push(Change { key, now: None });
                 }
                 _ => {}
             }
