--- a/crates/gladekeel-controller/src/checkin.rs
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -10,12 +10,18 @@
 /// A worker that comes back within this time after being sent to the leader
 /// could not reach it.
 const TRY_LEADER_S: f64 = 12.0;
+/// The same while its reports are passed on to the leader, so that nothing is
+/// lost by not trying.
+const TRY_RELAYED_S: f64 = 45.0;
 
 /// How a report is answered.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     /// 200.
     Commands(ReportAnswer),
+    /// The worker cannot reach the leader: pass its report on, and answer with
+    /// this, which keeps its lease, if the leader cannot be reached either.
+    Keep(ReportAnswer),
     /// 421: report to that node.
     Elsewhere(Redirect),
     /// 503: this node is not entitled to act.
@@ -35,6 +41,8 @@
     pub may_keep: bool,
     /// Whether the store was heard of just now.
     pub fresh: bool,
+    /// Whether reports can be passed on to the leader.
+    pub may_relay: bool,
 }
 
 /// Workers that were sent to the leader.
@@ -65,7 +73,8 @@
         {
             self.sent_on.retain(|_, (at, _)| now - *at < 10.0 * TRY_LEADER_S);
             let tried = self.sent_on.get(&report.machine);
-            if tried.is_none_or(|(at, under)| now - at >= TRY_LEADER_S || *under != token) {
+            let again_s = if standing.may_relay { TRY_RELAYED_S } else { TRY_LEADER_S };
+            if tried.is_none_or(|(at, under)| now - at >= again_s || *under != token) {
                 self.sent_on.insert(report.machine.clone(), (now, token));
                 return Answer::Elsewhere(Redirect { report_to: Some(name.to_owned()) });
             }
@@ -86,6 +95,6 @@
                 grace_s: 0.0,
             })
             .collect();
-        Answer::Commands(ReportAnswer { token, commands })
+        Answer::Keep(ReportAnswer { token, commands })
     }
 }
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -38,6 +38,8 @@
     types_at: Option<f64>,
     list_at: Option<f64>,
     list: Vec<MachineRow>,
+    /// Since when each zone has been within reach.
+    reached_since: BTreeMap<Option<u32>, f64>,
     counter: u64,
     not_before: f64,
 }
@@ -54,6 +56,7 @@
             types_at: None,
             list_at: None,
             list: Vec::new(),
+            reached_since: BTreeMap::new(),
             counter: 0,
             not_before: 0.0,
         }
@@ -275,7 +278,6 @@
     pub(super) fn size_fleet(&mut self, now: f64, options: &Options) {
         self.know.fleet.deleted.retain(|_, at| now - *at < TOMBSTONE_S);
         self.know.machines.retain(|_, machine| !(machine.gone && machine.attempts.is_empty()));
-        self.find_dead(now, options);
         self.know.fleet.wanted.clear();
         let demands = self.demands(&options.sizing, now);
         for (kind, (any, ordinary)) in demands {
@@ -284,7 +286,13 @@
     }
 
     /// Marks machines that are dead: silent, failed to boot, taken.
-    fn find_dead(&mut self, now: f64, options: &Options) {
+    pub(super) fn find_dead(
+        &mut self,
+        now: f64,
+        options: &Options,
+        own_zone: &str,
+        heard_zones: &[&str],
+    ) {
         let boots: BTreeMap<u32, f64> = self
             .catalog
             .types
@@ -300,15 +308,34 @@
         }
         let heard_any = zones.values().any(|(heard, _)| *heard > 0);
         let lease_s = self.params.workers.lease_s;
+        // A zone is within reach if a machine there is heard, or if any machine is,
+        // and the zone is the leader's own or a controller there is heard. Without
+        // a single machine, the leader may be the one that is cut off.
+        let in_reach = |zone: Option<u32>| {
+            let name = zone.map(|zone| self.catalog.zones.name(zone).as_str());
+            zones.get(&zone).is_some_and(|(heard, _)| *heard > 0)
+                || (heard_any
+                    && name.is_some_and(|name| name == own_zone || heard_zones.contains(&name)))
+        };
+        let reached: BTreeSet<Option<u32>> =
+            zones.keys().copied().filter(|zone| in_reach(*zone)).collect();
+        // Silence counts only while the zone is within reach: right after a cut its
+        // machines have been silent for long and are about to be heard again.
+        let since = &mut self.know.fleet.reached_since;
+        since.retain(|zone, _| reached.contains(zone));
+        for zone in reached {
+            since.entry(zone).or_insert(now);
+        }
         for machine in self.know.machines.values_mut().filter(|m| m.delete.is_none() && !m.gone) {
             let quiet = now - machine.quiet_since;
             if machine.should_report() {
-                let zone_heard = zones.get(&machine.zone).is_some_and(|(heard, _)| *heard > 0);
+                let reached = self.know.fleet.reached_since.get(&machine.zone);
+                let reached_s = reached.map_or(-1.0, |since| now - since);
                 let taken = machine.leaves_at.is_some_and(|at| now > at + 0.5) && quiet > 4.5;
                 // Silence of a whole zone may be a cut, and its machines may be at
                 // work behind it: only a long one is taken for their end.
-                if (zone_heard && (quiet > options.silent_s || taken))
-                    || (heard_any && quiet > lease_s + options.silent_s)
+                if (quiet.min(reached_s) > options.silent_s || (taken && reached_s > 0.0))
+                    || (heard_any && quiet > lease_s + 2.0 * options.silent_s)
                     || quiet > 3.0 * lease_s
                 {
                     tracing::info!(machine = machine.name, quiet, taken, "silent: deleted");
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -250,7 +250,7 @@
                 stop: None,
                 stop_sent: 0,
                 room: *task,
-                restart: false,
+                restored: true,
             },
         );
     }
@@ -338,8 +338,9 @@
         self.build_commit(now, budget)
     }
 
-    /// Decides what is due: a round, the fleet's size.
-    pub fn tick(&mut self, now: f64, options: &Options) {
+    /// Decides what is due: a round, the fleet's size. `zone` is the leader's own,
+    /// `heard_zones` are those of the controllers that it hears.
+    pub fn tick(&mut self, now: f64, options: &Options, zone: &str, heard_zones: &[&str]) {
         self.watch_machines(now);
         let due = now - self.round_at >= options.round_s
             || (self.round_wanted && now - self.round_at >= options.round_s / 4.0);
@@ -348,6 +349,7 @@
             self.round_wanted = false;
             self.know.counts.rounds += 1;
             self.round(now, options);
+            self.find_dead(now, options, zone, heard_zones);
             self.size_fleet(now, options);
         }
     }
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -130,8 +130,8 @@
     pub stop_sent: u32,
     /// What it takes.
     pub room: Room,
-    /// Whether it is a restart.
-    pub restart: bool,
+    /// Whether an earlier token placed it: how long it has run is not known then.
+    pub restored: bool,
 }
 
 /// A job.
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -153,7 +153,9 @@
     fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
         let attempt = &self.attempts[&id];
         let (job_ix, machine_ix, stop) = (attempt.job, attempt.machine, attempt.stop);
-        let ran = attempt.run_since.map(|since| now - since);
+        // Of a task that an earlier leader placed only the end was seen; its run
+        // would look short, and others of its job slow.
+        let ran = attempt.run_since.filter(|_| !attempt.restored).map(|since| now - since);
         let (Some(job), Some(machine)) =
             (self.jobs.get_mut(&job_ix), self.know.machines.get_mut(&machine_ix))
         else {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -127,7 +127,7 @@
                 stop: None,
                 stop_sent: 0,
                 room: job.room,
-                restart,
+                restored: false,
             },
         );
         self.commits.dirty_page(page);
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -17,7 +17,7 @@
     mesh::{Header, Hello, Kind},
     settings::{Params, Settings},
     state::{Guard, Txn, Write},
-    worker::Report,
+    worker::{Report, ReportAnswer},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -46,6 +46,10 @@
 /// What is kept of the time until which a cancellation must have ended, for clocks
 /// that drift and for answers under way.
 const MARGIN_S: f64 = 3.0;
+/// A controller counts as reachable this long after its last hello.
+const HELLO_S: f64 = 3.0;
+/// How long a report that was passed on waits for the leader's answer.
+const RELAY_S: f64 = 1.5;
 /// A leader that hears no worker for this long while it should gives up.
 const DEAF_S: f64 = 8.0;
 
@@ -201,6 +205,8 @@
     election: Election,
     leader: Option<Leader>,
     desk: Desk,
+    /// Reports passed on to the leader, with what to answer if it does not.
+    relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
     requests: Bucket,
     own_writes: Bucket,
     leader_writes: Bucket,
@@ -263,6 +269,7 @@
             election: Election::default(),
             leader: None,
             desk: Desk::default(),
+            relays: BTreeMap::new(),
             requests: Bucket::new(share * 0.6, share * 0.4),
             own_writes: Bucket::new(
                 params.state.write_rps * 0.3 / nodes,
@@ -531,15 +538,29 @@
             .as_ref()
             .map(|(record, _)| record.node.as_str())
             .filter(|node| *node != self.settings.node);
+        let relay = self.peers.iter().position(|peer| {
+            Some(peer.name.as_str()) == elsewhere
+                && peer.heard_at.is_some_and(|at| now - at < HELLO_S)
+        });
         let standing = Standing {
             now,
             world: &self.world,
             leader_elsewhere: elsewhere,
             may_keep: self.may_keep(now),
             fresh: self.fresh(now),
+            may_relay: relay.is_some(),
         };
         let reply = match self.desk.answer(&standing, self.leader.as_mut(), &report) {
             Answer::Commands(answer) => Reply::json(200, &answer),
+            Answer::Keep(answer) => {
+                if let Some(peer) = relay {
+                    let call = self.next_call;
+                    self.next_call += 1;
+                    self.relays.insert(call, (id, now, answer));
+                    return self.send(peer, Kind::Relay, 0, call, body);
+                }
+                Reply::json(200, &answer)
+            }
             Answer::Elsewhere(redirect) => Reply::json(421, &redirect),
             Answer::NotEntitled => Reply::later(503, 1, "not entitled to act"),
         };
@@ -720,7 +741,29 @@
                     peer.hears = hello.hears.get();
                 }
             }
-            Kind::Relay | Kind::Relayed => {}
+            Kind::Relay => {
+                let Some(peer) = self.peers.iter().position(|peer| peer.name == name) else {
+                    return;
+                };
+                let report = serde_json::from_slice::<Report>(payload);
+                let (may_keep, fresh) = (self.may_keep(now), self.fresh(now));
+                // Only a leader with something to say answers; the other node keeps
+                // the worker's lease otherwise.
+                if let (Some(leader), Ok(report)) = (&mut self.leader, report)
+                    && may_keep
+                    && report.token <= leader.token
+                {
+                    let answer = leader.on_report(now, &report, fresh);
+                    let body = serde_json::to_vec(&answer).expect("wire types always serialise");
+                    self.send(peer, Kind::Relayed, 200, header.call.get(), &body);
+                }
+            }
+            Kind::Relayed => {
+                if let Some((id, ..)) = self.relays.remove(&header.call.get()) {
+                    let status = header.status.get();
+                    self.reply(id, Reply { status, retry_after: None, body: payload.to_vec() });
+                }
+            }
         }
     }
 
@@ -739,8 +782,27 @@
                 self.later(write.request, "the state service is slow");
             }
         }
+        while let Some((call, (id, since, answer))) = self.relays.pop_first() {
+            if now - since < RELAY_S {
+                self.relays.insert(call, (id, since, answer));
+                break;
+            }
+            let reply = if self.may_keep(now) {
+                Reply::json(200, &answer)
+            } else {
+                Reply::later(503, 1, "not entitled to act")
+            };
+            self.reply(id, reply);
+        }
         if let Some(leader) = &mut self.leader {
-            leader.tick(now, &self.options);
+            let heard = self
+                .peers
+                .iter()
+                .enumerate()
+                .filter(|(_, peer)| peer.heard_at.is_some_and(|at| now - at < HELLO_S));
+            let zones: Vec<&str> =
+                heard.map(|(at, _)| self.settings.peers[at].zone.as_str()).collect();
+            leader.tick(now, &self.options, &self.settings.zone, &zones);
             self.resign_if_deaf(now);
         }
         if now - self.hello_at >= 1.0 {
--- /dev/null
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -0,0 +1,478 @@
+//! Scenario files: a small text form for a world, what happens in it and what
+//! must come of it.
+//!
+//! ```text
+//! # Comment.
+//! world zones=a,b ordinary=4 spot=2 boot=20 lag=4 late_copies=0.01
+//! at 5 submit job-1 tasks=8 cpus=8 run=20
+//! at 30 crash leader for 5
+//! until 200
+//! expect job-1 done
+//! ```
+//!
+//! Every scenario also expects that no rule breaks, unless it says `expect
+//! broken RULE`.
+
+use crate::{
+    cloud::Cloud,
+    sim::{Cut, From, Sim},
+    state::{Limits, State},
+};
+use gladekeel_wire::{
+    JobId,
+    cloud::MachineType,
+    job::{JobSpec, JobState, Kind, Priority},
+    settings::Settings,
+};
+use std::collections::BTreeMap;
+
+/// Why a scenario did not pass.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// A line that cannot be read.
+    #[error("line {0}: {1}")]
+    Line(usize, String),
+    /// Expectations that were not met.
+    #[error("{}", .0.join("\n"))]
+    Unmet(Vec<String>),
+}
+
+/// The settings of one node of the examples.
+pub fn example_settings(node: usize, nodes: usize) -> Settings {
+    let mut text = format!(
+        r#"
+        node = "node-{node}"
+        site = "{zone}"
+        bind = "127.0.0.1:80"
+        mesh_addr = "127.0.0.1:81"
+        unknown = "ignored"
+        [services]
+        cloud = "127.0.0.1:82"
+        state = "127.0.0.1:83"
+        [deployment]
+        count = {nodes}
+        zones = ["a", "b"]
+        [[deployment.teams]]
+        name = "red"
+        cpus = 64.0
+        cpus_max = 200.0
+        [[deployment.teams]]
+        name = "blue"
+        cpus = 64.0
+        cpus_max = 128.0
+        [deployment.workers]
+        report_s = 3.0
+        lease_s = 30.0
+        cancel_s = 50.0
+        [deployment.state]
+        rps = 90.0
+        write_rps = 25.0
+        value_kb = 4.0
+        txn_ops = 8
+        [deployment.cloud]
+        rps = 6.0
+        list_lag_s = 4.0
+        [deployment.limits]
+        cpu_share = 0.2
+        ram_mb = 200.0
+        max_connections = 3000
+        "#,
+        zone = ["a", "b"][node % 2],
+    );
+    for other in (0..nodes).filter(|other| *other != node) {
+        let zone = ["a", "b"][other % 2];
+        text.push_str(&format!(
+            "[[siblings]]\nnode = \"node-{other}\"\nsite = \"{zone}\"\npeer_addr = \"127.0.0.1:81\"\n"
+        ));
+    }
+    toml::from_str(&text).expect("the example settings are valid")
+}
+
+/// A job like the ones of the examples.
+pub fn example_job(id: &str) -> JobSpec {
+    JobSpec {
+        id: id.parse().expect("the example's id is valid"),
+        class: "batch".into(),
+        team: "red".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 4.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+type Words<'a> = BTreeMap<&'a str, &'a str>;
+
+/// Splits `key=value` words from plain ones.
+fn split(text: &str) -> (Vec<&str>, Words<'_>) {
+    let mut plain = Vec::new();
+    let mut pairs = BTreeMap::new();
+    for word in text.split_whitespace() {
+        match word.split_once('=') {
+            Some((key, value)) => {
+                pairs.insert(key, value);
+            }
+            None => plain.push(word),
+        }
+    }
+    (plain, pairs)
+}
+
+fn number(text: &str) -> Result<f64, String> {
+    text.parse().map_err(|_| format!("not a number: {text}"))
+}
+
+fn id(text: &str) -> Result<JobId, String> {
+    text.parse().map_err(|error| format!("{error}"))
+}
+
+/// Builds a world from its line.
+fn world(words: &Words<'_>) -> Result<Sim, String> {
+    let get = |key: &str, default: f64| words.get(key).map_or(Ok(default), |text| number(text));
+    let nodes = get("nodes", 3.0)? as usize;
+    let settings: Vec<Settings> = (0..nodes).map(|node| example_settings(node, nodes)).collect();
+    let params = settings[0].params.clone();
+    let mut capacity = BTreeMap::new();
+    let zones: Vec<String> =
+        words.get("zones").unwrap_or(&"a,b").split(',').map(str::to_owned).collect();
+    for zone in &zones {
+        capacity.insert((zone.clone(), false), get("ordinary", 4.0)? as u32);
+        capacity.insert((zone.clone(), true), get("spot", 0.0)? as u32);
+    }
+    let types = vec![MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 2.0,
+        spot_price: Some(0.7),
+        boot_s: get("boot", 20.0)?,
+        zones,
+    }];
+    let state = State::new(Limits {
+        rps: params.state.rps,
+        write_rps: params.state.write_rps,
+        txn_ops: params.state.txn_ops,
+        value: (params.state.value_kb * 1024.0) as usize,
+    });
+    let cloud = Cloud::new(types, capacity, get("lag", 4.0)?);
+    let mut sim = Sim::new(settings, state, cloud, get("seed", 1.0)? as u64);
+    sim.late_copies = get("late_copies", 0.0)?;
+    sim.start_twice = words.contains_key("start_twice");
+    Ok(sim)
+}
+
+fn job(name: &str, words: &Words<'_>) -> Result<JobSpec, String> {
+    id(name)?;
+    let mut spec = example_job(name);
+    for (key, value) in words {
+        match *key {
+            "tasks" => spec.tasks = number(value)? as u32,
+            "cpus" => spec.cpus = number(value)?,
+            "memory" => spec.memory_gb = number(value)?,
+            "run" => spec.estimate_s = number(value)?,
+            "image_gb" => spec.image_gb = number(value)?,
+            "image" => spec.image = (*value).into(),
+            "team" => spec.team = (*value).into(),
+            "class" => spec.class = (*value).into(),
+            "saves" => (spec.checkpoint_s, spec.save_s) = (number(value)?, 2.0),
+            "zone" => spec.zone = Some((*value).into()),
+            "type" => spec.types = Some(vec![(*value).into()]),
+            "one_zone" => spec.one_zone = *value == "yes",
+            "scatter" => spec.spread = *value == "yes",
+            "spot" => spec.spot = *value == "yes",
+            "priority" => {
+                spec.priority = match *value {
+                    "low" => Priority::Low,
+                    "normal" => Priority::Normal,
+                    "high" => Priority::High,
+                    "production" => Priority::Production,
+                    other => return Err(format!("no priority {other}")),
+                }
+            }
+            other => return Err(format!("a job has no {other}")),
+        }
+    }
+    Ok(spec)
+}
+
+/// Names like `job-1..3`, spelled out.
+fn names(text: &str) -> Vec<String> {
+    let range = text.split_once("..").and_then(|(first, last)| {
+        let (stem, from) = first.rsplit_once('-')?;
+        Some((stem, from.parse::<u32>().ok()?, last.parse::<u32>().ok()?))
+    });
+    match range {
+        Some((stem, from, to)) => (from..=to).map(|n| format!("{stem}-{n}")).collect(),
+        None => vec![text.to_owned()],
+    }
+}
+
+type Step = Box<dyn FnOnce(&mut Sim)>;
+
+/// Reads what happens at a time.
+fn step(text: &str) -> Result<Step, String> {
+    let (plain, words) = split(text);
+    let at = |index: usize| plain.get(index).copied().ok_or("a word is missing");
+    let for_s = match plain.iter().position(|word| *word == "for") {
+        Some(index) => number(at(index + 1)?)?,
+        None => 0.0,
+    };
+    let hold = plain.last() == Some(&"hold");
+    Ok(match at(0)? {
+        "submit" => {
+            let specs: Vec<JobSpec> =
+                names(at(1)?).iter().map(|name| job(name, &words)).collect::<Result<_, _>>()?;
+            Box::new(move |sim| specs.into_iter().for_each(|spec| sim.submit(spec)))
+        }
+        "poll" => {
+            let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
+            let times = words.get("times").map_or(Ok(1.0), |text| number(text))? as u32;
+            Box::new(move |sim| {
+                for id in ids {
+                    (0..times).for_each(|_| sim.poll_once(id.clone()));
+                }
+            })
+        }
+        "cancel" => {
+            let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
+            Box::new(move |sim| ids.into_iter().for_each(|id| sim.cancel(id)))
+        }
+        "junk" => Box::new(move |sim| (0..sim.nodes()).for_each(|node| sim.send_junk(node))),
+        "crash" => {
+            let who = at(1)?.to_owned();
+            Box::new(move |sim| {
+                for node in which(sim, &who) {
+                    sim.restart(node, for_s);
+                }
+            })
+        }
+        "cut" if at(1)? == "zone" => {
+            let cut = Cut::Zones(at(2)?.into(), at(4)?.into());
+            Box::new(move |sim| sim.cut(cut, for_s, hold))
+        }
+        "cut" => {
+            let who = at(1)?.to_owned();
+            let from = match at(3)? {
+                "all" => From::All,
+                "workers" => From::Workers,
+                "state" => From::State,
+                "cloud" => From::Cloud,
+                "mesh" => From::Mesh,
+                "users" => From::Users,
+                other => return Err(format!("cannot cut from {other}")),
+            };
+            Box::new(move |sim| {
+                for node in which(sim, &who) {
+                    sim.cut(Cut::Node(node, from), for_s, hold);
+                }
+            })
+        }
+        "state" => match at(1)? {
+            "down" => Box::new(move |sim| {
+                let now = sim.now;
+                sim.state.set_down(now, true);
+                sim.after(for_s, |sim| {
+                    let now = sim.now;
+                    sim.state.set_down(now, false);
+                });
+            }),
+            "mute" => Box::new(move |sim| {
+                sim.state_mute = true;
+                sim.after(for_s, |sim| sim.state_mute = false);
+            }),
+            "refuses" => {
+                let who = at(2)?.to_owned();
+                Box::new(move |sim| {
+                    sim.state.refused = which(sim, &who);
+                    sim.after(for_s, |sim| sim.state.refused.clear());
+                })
+            }
+            "forgets" => Box::new(|sim| sim.state.forget_history()),
+            other => return Err(format!("the state service cannot {other}")),
+        },
+        "cloud" => match at(1)? {
+            "down" => Box::new(move |sim| {
+                sim.cloud.down = true;
+                sim.after(for_s, |sim| sim.cloud.down = false);
+            }),
+            "duds" => {
+                let count = number(at(2)?)? as u32;
+                Box::new(move |sim| sim.cloud.duds = count)
+            }
+            "empty" => Box::new(|sim| sim.cloud.capacity.values_mut().for_each(|n| *n = 0)),
+            other => return Err(format!("the cloud cannot {other}")),
+        },
+        "take" => {
+            let count = number(at(1)?)? as usize;
+            let notice = words.get("notice").map_or(Ok(0.0), |text| number(text))?;
+            Box::new(move |sim| {
+                for name in some_workers(sim, count) {
+                    sim.take_machine(name, notice);
+                }
+            })
+        }
+        what @ ("hang" | "sick" | "slow") => {
+            let (count, what) = (number(at(1)?)? as usize, what.to_owned());
+            Box::new(move |sim| {
+                let names = some_workers(sim, count);
+                let set = move |sim: &mut Sim, on: bool| {
+                    for name in &names {
+                        let Some(worker) = sim.workers.get_mut(name) else { continue };
+                        match what.as_str() {
+                            "hang" => worker.hung = on,
+                            "sick" => worker.sick = on,
+                            _ => worker.slow = if on { 20.0 } else { 1.0 },
+                        }
+                    }
+                };
+                set(sim, true);
+                sim.after(for_s, move |sim| set(sim, false));
+            })
+        }
+        other => return Err(format!("nothing is called {other}")),
+    })
+}
+
+/// Workers that hold tasks first, in the order of their names.
+fn some_workers(sim: &Sim, count: usize) -> Vec<String> {
+    let mut names: Vec<(bool, String)> =
+        sim.workers.iter().map(|(name, w)| (w.tasks.is_empty(), name.clone())).collect();
+    names.sort();
+    names.into_iter().take(count).map(|(_, name)| name).collect()
+}
+
+fn which(sim: &Sim, who: &str) -> Vec<usize> {
+    match who {
+        "leader" => sim.leading().into_iter().collect(),
+        "all" => (0..sim.nodes()).collect(),
+        "others" => (0..sim.nodes()).filter(|node| Some(*node) != sim.leading()).collect(),
+        number => number.parse().into_iter().filter(|node| *node < sim.nodes()).collect(),
+    }
+}
+
+/// Compares a number with `>= N`, `<= N` or `= N`.
+fn compare(what: &str, value: f64, words: &[&str]) -> Result<Option<String>, String> {
+    let [op, bound] = words else { return Err("expected an operator and a number".into()) };
+    let bound = number(bound)?;
+    let holds = match *op {
+        ">=" => value >= bound,
+        "<=" => value <= bound,
+        "=" => value == bound,
+        other => return Err(format!("no operator {other}")),
+    };
+    Ok((!holds).then(|| format!("{what} is {value}, expected {op} {bound}")))
+}
+
+/// Checks one expectation; returns what is wrong.
+fn expect(sim: &Sim, text: &str) -> Result<Option<String>, String> {
+    let (words, _) = split_plain(text);
+    let wrong = |name: &str, state: JobState| -> Result<Option<String>, String> {
+        for name in names(name) {
+            let last = sim.rules.last(&id(&name)?);
+            if last != Some(state) {
+                return Ok(Some(format!("{name} is {last:?}, expected {state:?}")));
+            }
+        }
+        Ok(None)
+    };
+    match words.as_slice() {
+        ["broken", rule] => Ok((!sim.rules.broken.iter().any(|(broken, _)| broken == rule))
+            .then(|| format!("{rule} is not broken"))),
+        ["starts", rest @ ..] => compare("starts", sim.rules.starts as f64, rest),
+        ["leaders", rest @ ..] => compare("leaders", sim.leaders.len() as f64, rest),
+        ["machines", rest @ ..] => compare("machines", sim.cloud.present().len() as f64, rest),
+        ["rented", rest @ ..] => compare("rented", sim.cloud.machines.len() as f64, rest),
+        ["given_up", rest @ ..] => compare("given_up", sim.given_up as f64, rest),
+        ["restarts", rest @ ..] => {
+            compare("restarts", sim.leader_counts().map_or(0, |c| c.restarts) as f64, rest)
+        }
+        ["preemptions", rest @ ..] => {
+            compare("preemptions", sim.leader_counts().map_or(0, |c| c.preemptions) as f64, rest)
+        }
+        [name, "done"] => wrong(name, JobState::Done),
+        [name, "cancelled"] => wrong(name, JobState::Cancelled),
+        [name, "refused"] => {
+            let last = sim.rules.last(&id(name)?);
+            Ok(last.map(|state| format!("{name} is {state:?}, expected to be refused")))
+        }
+        [name, "open"] => {
+            let last = sim.rules.last(&id(name)?);
+            let open = last.is_some_and(|state| !state.is_final());
+            Ok((!open).then(|| format!("{name} is {last:?}, expected to be open")))
+        }
+        _ => Err("an expectation that cannot be read".into()),
+    }
+}
+
+/// Plain words, with operators kept.
+fn split_plain(text: &str) -> (Vec<&str>, ()) {
+    (text.split_whitespace().collect(), ())
+}
+
+/// Runs a scenario.
+pub fn run(text: &str) -> Result<(), Failure> {
+    let mut sim: Option<Sim> = None;
+    let mut unmet = Vec::new();
+    let mut may_break = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let fail = |what: String| Failure::Line(index + 1, what);
+        let Some((verb, rest)) = line.split_once(' ') else {
+            if line.is_empty() {
+                continue;
+            }
+            return Err(fail("a line of one word".into()));
+        };
+        if verb == "world" {
+            sim = Some(world(&split(rest).1).map_err(fail)?);
+            continue;
+        }
+        let Some(sim) = &mut sim else {
+            return Err(fail("the world comes first".into()));
+        };
+        match verb {
+            "at" => {
+                let (time, what) = rest.split_once(' ').ok_or_else(|| fail("at what?".into()))?;
+                let (time, step) = (number(time).map_err(fail)?, step(what.trim()).map_err(fail)?);
+                sim.after(time - sim.now, step);
+            }
+            "until" => sim.run(number(rest).map_err(fail)?),
+            "expect" => {
+                if let Some(rule) = rest.strip_prefix("broken ") {
+                    may_break.push(rule.to_owned());
+                }
+                if let Some(what) = expect(sim, rest).map_err(fail)? {
+                    unmet.push(format!("line {}: {what}", index + 1));
+                }
+            }
+            other => return Err(fail(format!("no line begins with {other}"))),
+        }
+    }
+    if let Some(sim) = &sim {
+        for (rule, what) in &sim.rules.broken {
+            if !may_break.iter().any(|allowed| allowed == rule) {
+                unmet.push(format!("rule {rule} broken: {what}"));
+            }
+        }
+        for abuse in sim.state.abuses.iter().chain(&sim.cloud.abuses) {
+            unmet.push(format!("protocol: {abuse}"));
+        }
+    }
+    if unmet.is_empty() { Ok(()) } else { Err(Failure::Unmet(unmet)) }
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -0,0 +1,723 @@
+//! The simulated world: events in virtual time between nodes and stand-ins.
+
+use crate::{
+    cloud::Cloud,
+    rules::Rules,
+    state::State,
+    worker::{Happened, Worker},
+};
+use gladekeel_controller::{
+    cloud::{CloudCall, CloudOutcome},
+    node::{Action, CallId, Event, Node, Reply, RequestId},
+};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_wire::{
+    JobId, TaskId,
+    job::{JobSpec, JobState, JobStatus},
+    mesh::Header,
+    settings::Settings,
+    worker::{Command, Redirect, ReportAnswer},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+type Job = Box<dyn FnOnce(&mut Sim)>;
+type Then = Box<dyn FnOnce(&mut Sim, Option<Reply>)>;
+
+/// Time between ticks of a node and steps of a worker.
+const STEP_S: f64 = 0.1;
+/// Time that a worker waits for an answer.
+const ANSWER_S: f64 = 4.0;
+
+/// One end of a connection.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// A controller.
+    Node(usize),
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+    /// A worker in this zone.
+    Worker(String),
+    /// Users and their load balancer.
+    Users,
+}
+
+/// What a cut separates.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Cut {
+    /// A node from one kind of other end, or from all.
+    Node(usize, From),
+    /// Two zones from one another.
+    Zones(String, String),
+}
+
+/// The other side of a node's cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum From {
+    /// Everything.
+    All,
+    /// Workers.
+    Workers,
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+    /// Other controllers.
+    Mesh,
+    /// Users.
+    Users,
+}
+
+#[derive(Debug, Clone)]
+struct ActiveCut {
+    cut: Cut,
+    until: f64,
+    hold: bool,
+}
+
+enum Path {
+    Open,
+    Lost,
+    Held(f64),
+}
+
+struct Slot {
+    node: Option<Node>,
+    settings: Settings,
+    incarnation: u64,
+    started: f64,
+    replies: HashMap<RequestId, Then>,
+    next_request: RequestId,
+}
+
+/// The world.
+pub struct Sim {
+    /// Seconds since the beginning.
+    pub now: f64,
+    queue: BTreeMap<(u64, u64), Job>,
+    count: u64,
+    rng: StdRng,
+    nodes: Vec<Slot>,
+    /// The state service.
+    pub state: State,
+    /// While set, the state service carries requests out and does not answer.
+    pub state_mute: bool,
+    /// The cloud.
+    pub cloud: Cloud,
+    /// Workers that are up.
+    pub workers: BTreeMap<String, Worker>,
+    /// The checker.
+    pub rules: Rules,
+    cuts: Vec<ActiveCut>,
+    /// Part of the requests to services that arrive a second time, later.
+    pub late_copies: f64,
+    /// Start every task on a second machine as well: a fault for the checker to find.
+    pub start_twice: bool,
+    /// Token and node of every leader seen.
+    pub leaders: Vec<(u64, usize)>,
+    /// Users' requests that got no final answer within their time.
+    pub given_up: u64,
+    /// Jobs that users follow.
+    pub followed: Vec<JobId>,
+    lease_s: f64,
+    report_s: f64,
+}
+
+impl Sim {
+    /// A world whose nodes have these settings.
+    pub fn new(settings: Vec<Settings>, state: State, cloud: Cloud, seed: u64) -> Sim {
+        let params = settings[0].params.clone();
+        let mut sim = Sim {
+            now: 0.0,
+            queue: BTreeMap::new(),
+            count: 0,
+            rng: StdRng::seed_from_u64(seed),
+            nodes: settings
+                .into_iter()
+                .map(|settings| Slot {
+                    node: None,
+                    settings,
+                    incarnation: 0,
+                    started: 0.0,
+                    replies: HashMap::new(),
+                    next_request: 0,
+                })
+                .collect(),
+            state,
+            state_mute: false,
+            cloud,
+            workers: BTreeMap::new(),
+            lease_s: params.workers.lease_s,
+            report_s: params.workers.report_s,
+            rules: Rules::new(params),
+            cuts: Vec::new(),
+            late_copies: 0.0,
+            start_twice: false,
+            leaders: Vec::new(),
+            given_up: 0,
+            followed: Vec::new(),
+        };
+        for node in 0..sim.nodes.len() {
+            sim.start(node);
+        }
+        sim
+    }
+
+    /// Does something after a while.
+    pub fn after(&mut self, seconds: f64, job: impl FnOnce(&mut Sim) + 'static) {
+        let at = ((self.now + seconds.max(0.0)) * 1e6) as u64;
+        self.count += 1;
+        self.queue.insert((at, self.count), Box::new(job));
+    }
+
+    /// Runs until a time.
+    pub fn run(&mut self, until: f64) {
+        while let Some(((at, count), job)) = self.queue.pop_first() {
+            let at_s = at as f64 / 1e6;
+            if at_s > until {
+                self.queue.insert((at, count), job);
+                break;
+            }
+            self.now = self.now.max(at_s);
+            job(self);
+            self.rules.check_cancelled(self.now);
+        }
+        self.now = until;
+    }
+
+    // ---- network --------------------------------------------------------
+
+    fn zone_of(&self, end: &End) -> Option<String> {
+        match end {
+            End::Node(node) => Some(self.nodes[*node].settings.zone.clone()),
+            End::Worker(zone) => Some(zone.clone()),
+            _ => None,
+        }
+    }
+
+    fn path(&self, a: &End, b: &End) -> Path {
+        for active in self.cuts.iter().filter(|active| self.now < active.until) {
+            let hit = match &active.cut {
+                Cut::Node(node, from) => {
+                    let other = match (a, b) {
+                        (End::Node(n), other) | (other, End::Node(n)) if n == node => other,
+                        _ => continue,
+                    };
+                    match from {
+                        From::All => true,
+                        From::Workers => matches!(other, End::Worker(_)),
+                        From::State => *other == End::State,
+                        From::Cloud => *other == End::Cloud,
+                        From::Mesh => matches!(other, End::Node(_)),
+                        From::Users => *other == End::Users,
+                    }
+                }
+                Cut::Zones(x, y) => {
+                    let (a, b) = (self.zone_of(a), self.zone_of(b));
+                    let is = |p: &Option<String>, q: &str| p.as_deref() == Some(q);
+                    (is(&a, x) && is(&b, y)) || (is(&a, y) && is(&b, x))
+                }
+            };
+            if hit {
+                return if active.hold { Path::Held(active.until) } else { Path::Lost };
+            }
+        }
+        Path::Open
+    }
+
+    /// Cuts something off for a while; with `hold` packets arrive afterwards.
+    pub fn cut(&mut self, cut: Cut, for_s: f64, hold: bool) {
+        self.cuts.push(ActiveCut { cut, until: self.now + for_s, hold });
+    }
+
+    fn delay(&mut self) -> f64 {
+        let slow = self.rng.random::<f64>() < 0.01;
+        self.rng.random_range(0.001..0.01) + if slow { 0.3 } else { 0.0 }
+    }
+
+    fn deliver(&mut self, from: &End, to: &End, job: impl FnOnce(&mut Sim) + 'static) {
+        let delay = self.delay();
+        match self.path(from, to) {
+            Path::Open => self.after(delay, job),
+            Path::Held(until) => self.after(until - self.now + delay, job),
+            Path::Lost => {}
+        }
+    }
+
+    // ---- nodes ----------------------------------------------------------
+
+    /// Starts a node.
+    pub fn start(&mut self, node: usize) {
+        let seed = self.rng.random();
+        let slot = &mut self.nodes[node];
+        slot.incarnation += 1;
+        slot.started = self.now;
+        slot.replies.clear();
+        slot.node = Some(Node::new(slot.settings.clone(), seed));
+        let incarnation = slot.incarnation;
+        self.tick(node, incarnation);
+    }
+
+    /// Ends a node without notice.
+    pub fn crash(&mut self, node: usize) {
+        let slot = &mut self.nodes[node];
+        slot.node = None;
+        let lost: Vec<Then> = slot.replies.drain().map(|(_, then)| then).collect();
+        for then in lost {
+            then(self, None);
+        }
+    }
+
+    /// Ends a node and starts it again after a while.
+    pub fn restart(&mut self, node: usize, after_s: f64) {
+        self.crash(node);
+        self.after(after_s, move |sim| {
+            if sim.nodes[node].node.is_none() {
+                sim.start(node);
+            }
+        });
+    }
+
+    /// The node that leads, as far as any of them thinks so.
+    pub fn leading(&self) -> Option<usize> {
+        let leads = |slot: &Slot| slot.node.as_ref().and_then(|n| n.leader()).map(|l| l.token);
+        (0..self.nodes.len())
+            .filter_map(|node| Some((leads(&self.nodes[node])?, node)))
+            .max()
+            .map(|(_, node)| node)
+    }
+
+    /// The leader's counters.
+    pub fn leader_counts(&self) -> Option<gladekeel_controller::leader::Counts> {
+        let node = self.leading()?;
+        Some(self.nodes[node].node.as_ref()?.leader()?.counts().clone())
+    }
+
+    fn tick(&mut self, node: usize, incarnation: u64) {
+        if self.nodes[node].incarnation != incarnation || self.nodes[node].node.is_none() {
+            return;
+        }
+        self.event(node, incarnation, Event::Tick);
+        if let Some(leader) = self.nodes[node].node.as_ref().and_then(|n| n.leader()) {
+            let seen = (leader.token, node);
+            if !self.leaders.contains(&seen) {
+                self.leaders.push(seen);
+            }
+        }
+        self.after(STEP_S, move |sim| sim.tick(node, incarnation));
+    }
+
+    fn event(&mut self, node: usize, incarnation: u64, event: Event) {
+        let now = self.now;
+        let slot = &mut self.nodes[node];
+        if slot.incarnation != incarnation {
+            return;
+        }
+        let started = slot.started;
+        let Some(running) = &mut slot.node else { return };
+        for action in running.handle(now - started, event) {
+            self.act(node, incarnation, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, incarnation: u64, action: Action) {
+        match action {
+            Action::Reply { id, reply } => {
+                if let Some(then) = self.nodes[node].replies.remove(&id) {
+                    then(self, Some(reply));
+                }
+            }
+            Action::State { call, request, limit_s } => {
+                self.call_state(node, incarnation, call, request, limit_s);
+            }
+            Action::Cloud { call, request, limit_s } => {
+                self.call_cloud(node, incarnation, call, request, limit_s);
+            }
+            Action::Mesh { peer, frame } => {
+                let name = self.nodes[node].settings.peers[peer].node.clone();
+                let to = self.nodes.iter().position(|slot| slot.settings.node == name);
+                let Some(to) = to else { return };
+                self.deliver(&End::Node(node), &End::Node(to), move |sim| {
+                    let (head, payload) = frame.split_at(Header::SIZE);
+                    let read = head.try_into().ok().and_then(|head| Header::read(&head));
+                    let Some((header, kind)) = read else { return };
+                    let incarnation = sim.nodes[to].incarnation;
+                    sim.event(
+                        to,
+                        incarnation,
+                        Event::Mesh { header, kind, payload: payload.to_vec() },
+                    );
+                });
+            }
+        }
+    }
+
+    fn call_state(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: CallId,
+        request: Call,
+        limit_s: f64,
+    ) {
+        self.after(limit_s, move |sim| {
+            sim.event(node, incarnation, Event::State { call, outcome: Outcome::Unknown });
+        });
+        let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
+        for copy in 0..copies {
+            let request = request.clone();
+            let extra = if copy == 0 { 0.0 } else { self.rng.random_range(0.5..20.0) };
+            self.after(extra, move |sim| {
+                sim.deliver(&End::Node(node), &End::State, move |sim| {
+                    let outcome = sim.state.call(sim.now, node, &request);
+                    if sim.state_mute || copy > 0 {
+                        return;
+                    }
+                    sim.deliver(&End::State, &End::Node(node), move |sim| {
+                        sim.event(node, incarnation, Event::State { call, outcome });
+                    });
+                });
+            });
+        }
+    }
+
+    fn call_cloud(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: CallId,
+        request: CloudCall,
+        limit_s: f64,
+    ) {
+        self.after(limit_s, move |sim| {
+            sim.event(node, incarnation, Event::Cloud { call, outcome: CloudOutcome::Unknown });
+        });
+        let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
+        for copy in 0..copies {
+            let request = request.clone();
+            let extra = if copy == 0 { 0.1 } else { self.rng.random_range(0.5..20.0) };
+            self.after(extra, move |sim| {
+                sim.deliver(&End::Node(node), &End::Cloud, move |sim| {
+                    let (outcome, came, went) = sim.cloud.call(sim.now, &request);
+                    for name in came {
+                        sim.boot(name);
+                    }
+                    for name in went {
+                        sim.remove_worker(&name);
+                    }
+                    if copy == 0 {
+                        sim.deliver(&End::Cloud, &End::Node(node), move |sim| {
+                            sim.event(node, incarnation, Event::Cloud { call, outcome });
+                        });
+                    }
+                });
+            });
+        }
+    }
+
+    // ---- requests to nodes ----------------------------------------------
+
+    fn request(
+        &mut self,
+        from: End,
+        node: usize,
+        request: (&'static str, String, Vec<u8>),
+        limit_s: f64,
+        then: impl FnOnce(&mut Sim, Option<Reply>) + 'static,
+    ) {
+        // Whichever comes first, the answer or the end of patience.
+        let then: Rc<RefCell<Option<Then>>> = Rc::new(RefCell::new(Some(Box::new(then))));
+        let settle = |then: &Rc<RefCell<Option<Then>>>, sim: &mut Sim, reply: Option<Reply>| {
+            let then = then.borrow_mut().take();
+            if let Some(then) = then {
+                then(sim, reply);
+            }
+        };
+        let patience = then.clone();
+        self.after(limit_s, move |sim| settle(&patience, sim, None));
+        let back = from.clone();
+        self.deliver(&from, &End::Node(node), move |sim| {
+            let incarnation = sim.nodes[node].incarnation;
+            let slot = &mut sim.nodes[node];
+            if slot.node.is_none() {
+                return settle(&then, sim, None);
+            }
+            let id = slot.next_request;
+            slot.next_request += 1;
+            slot.replies.insert(
+                id,
+                Box::new(move |sim, reply| {
+                    sim.deliver(&End::Node(node), &back, move |sim| settle(&then, sim, reply));
+                }),
+            );
+            let (method, path, body) = request;
+            let event = Event::Http { id, method: method.into(), path, body };
+            sim.event(node, incarnation, event);
+        });
+    }
+
+    // ---- machines -------------------------------------------------------
+
+    fn boot(&mut self, name: String) {
+        let Some(machine) = self.cloud.machines.get(&name).cloned() else { return };
+        let Some(up_at) = machine.up_at else { return };
+        self.after(up_at - self.now, move |sim| {
+            let there = sim.cloud.machines.get(&name).is_some_and(|m| m.gone_at.is_none());
+            let Some(kind) = sim.cloud.types.iter().find(|t| t.name == machine.machine_type) else {
+                return;
+            };
+            if !there {
+                return;
+            }
+            let room = (kind.cpus, kind.gpus, kind.memory_gb);
+            let node = sim.rng.random_range(0..sim.nodes.len());
+            let worker = Worker::new(
+                name.clone(),
+                machine.machine_type,
+                machine.zone,
+                machine.spot,
+                room,
+                sim.lease_s,
+                sim.now,
+                node,
+            );
+            sim.workers.insert(name.clone(), worker);
+            sim.step_worker(name, 0.0);
+        });
+    }
+
+    /// A machine is gone with everything on it.
+    pub fn remove_worker(&mut self, name: &str) {
+        let Some(mut worker) = self.workers.remove(name) else { return };
+        let happened = worker.kill_all();
+        self.note(name, &worker.machine_type, &worker.zone, worker.spot, happened);
+    }
+
+    /// The cloud takes a machine, with a notice or without.
+    pub fn take_machine(&mut self, name: String, notice_s: f64) {
+        if let Some(worker) = self.workers.get_mut(&name)
+            && notice_s > 0.0
+        {
+            worker.leaves_at = Some(self.now + notice_s);
+            worker.changed = true;
+        }
+        self.after(notice_s, move |sim| {
+            sim.cloud.take(sim.now, &name);
+            sim.remove_worker(&name);
+        });
+    }
+
+    fn note(
+        &mut self,
+        name: &str,
+        machine_type: &str,
+        zone: &str,
+        spot: bool,
+        happened: Vec<Happened>,
+    ) {
+        for what in happened {
+            match what {
+                Happened::Started(task) => {
+                    self.rules.started(self.now, &task, name, machine_type, zone, spot);
+                }
+                Happened::Ended(task, completed) => self.rules.ended(&task, name, completed),
+            }
+        }
+    }
+
+    fn step_worker(&mut self, name: String, report_at: f64) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let happened = worker.step(now);
+        let (machine_type, zone, spot) =
+            (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
+        let due = now >= report_at || (worker.changed && now >= report_at - self.report_s + 0.5);
+        let sends = due && worker.in_flight.is_none() && !worker.hung;
+        let mut next = report_at;
+        if sends {
+            worker.changed = false;
+            let report = worker.report(now);
+            worker.in_flight = Some(report.seq);
+            next = now + self.report_s * self.rng.random_range(0.75..1.25);
+            self.send_report(name.clone(), report);
+        }
+        self.note(&name, &machine_type, &zone, spot, happened);
+        self.after(STEP_S, move |sim| sim.step_worker(name, next));
+    }
+
+    fn send_report(&mut self, name: String, report: gladekeel_wire::worker::Report) {
+        let Some(worker) = self.workers.get(&name) else { return };
+        let (node, zone, sent_at) = (worker.node, worker.zone.clone(), self.now);
+        let (session, seq) = (report.session, report.seq);
+        let body = serde_json::to_vec(&report).unwrap_or_default();
+        let request = ("POST", "/checkin".to_owned(), body);
+        self.request(End::Worker(zone), node, request, ANSWER_S, move |sim, reply| {
+            let nodes = sim.nodes.len();
+            let Some(worker) = sim.workers.get_mut(&name) else { return };
+            if worker.hung || worker.session != session || worker.in_flight != Some(seq) {
+                worker.in_flight = None;
+                return;
+            }
+            let answer = reply
+                .as_ref()
+                .filter(|reply| reply.status == 200)
+                .and_then(|reply| serde_json::from_slice::<ReportAnswer>(&reply.body).ok());
+            if let Some(answer) = answer {
+                worker.in_flight = None;
+                let rules = &sim.rules;
+                let find = |task: &TaskId| rules.spec(&task.job).filter(|s| task.index < s.tasks);
+                let happened = worker.answered(sim.now, session, sent_at, &answer, &find);
+                let (kind, zone, spot) =
+                    (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
+                sim.note(&name, &kind, &zone, spot, happened);
+                if sim.start_twice {
+                    sim.sabotage(&name, &answer);
+                }
+                return;
+            }
+            let elsewhere = reply
+                .filter(|reply| reply.status == 421)
+                .and_then(|reply| serde_json::from_slice::<Redirect>(&reply.body).ok()?.report_to);
+            let named = elsewhere
+                .and_then(|name| sim.nodes.iter().position(|slot| slot.settings.node == name));
+            worker.node = named.filter(|named| *named != node).unwrap_or((node + 1) % nodes);
+            let pause = if named.is_some_and(|named| named != node) { 0.2 } else { 1.0 };
+            worker.changed = true;
+            sim.after(pause, move |sim| {
+                if let Some(worker) = sim.workers.get_mut(&name) {
+                    worker.in_flight = None;
+                }
+            });
+        });
+    }
+
+    /// Starts what a worker was told to start on another machine as well.
+    fn sabotage(&mut self, name: &str, answer: &ReportAnswer) {
+        let starts: Vec<Command> = answer
+            .commands
+            .iter()
+            .filter(|c| matches!(c, Command::Start { .. }))
+            .cloned()
+            .collect();
+        let now = self.now;
+        let Some((_, other)) = self.workers.iter_mut().find(|(other, _)| *other != name) else {
+            return;
+        };
+        let rules = &self.rules;
+        let find = |task: &TaskId| rules.spec(&task.job);
+        let answer = ReportAnswer { token: answer.token, commands: starts };
+        let session = other.session;
+        other.answered(now, session, now, &answer, &find);
+    }
+
+    // ---- users ----------------------------------------------------------
+
+    fn any_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> =
+            (0..self.nodes.len()).filter(|node| self.nodes[*node].node.is_some()).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    fn ask(
+        &mut self,
+        id: JobId,
+        request: (&'static str, String, Vec<u8>),
+        limit_s: f64,
+        then: impl FnOnce(&mut Sim, u16, Option<JobState>) + 'static,
+    ) {
+        let submission = request.1 == "/api/jobs";
+        let Some(node) = self.any_node() else {
+            return self.after(1.0, move |sim| then(sim, 0, None));
+        };
+        self.request(End::Users, node, request, limit_s, move |sim, reply| {
+            let (status, state) = match &reply {
+                None => (0, None),
+                Some(reply) => {
+                    let status = serde_json::from_slice::<JobStatus>(&reply.body).ok();
+                    (reply.status, status.filter(|s| s.id == id).map(|s| s.state))
+                }
+            };
+            sim.rules.answer(sim.now, &id, status, state, submission);
+            then(sim, status, state);
+        });
+    }
+
+    /// A user submits a job, repeats until it is taken and then follows it.
+    pub fn submit(&mut self, spec: JobSpec) {
+        self.rules.submits(&spec);
+        self.followed.push(spec.id.clone());
+        self.try_submit(spec, self.now);
+    }
+
+    fn try_submit(&mut self, spec: JobSpec, since: f64) {
+        let body = serde_json::to_vec(&spec).unwrap_or_default();
+        let id = spec.id.clone();
+        self.ask(id.clone(), ("POST", "/api/jobs".into(), body), 5.0, move |sim, status, _| {
+            match status {
+                200 | 201 => sim.after(1.0, move |sim| sim.poll(id)),
+                400 | 422 => {}
+                _ if sim.now - since > 60.0 => sim.given_up += 1,
+                _ => sim.after(1.0, move |sim| sim.try_submit(spec, since)),
+            }
+        });
+    }
+
+    /// A user asks for a job until it is over.
+    pub fn poll(&mut self, id: JobId) {
+        let path = format!("/api/jobs/{id}");
+        self.ask(id.clone(), ("GET", path, Vec::new()), 2.0, move |sim, status, state| {
+            let over = state.is_some_and(JobState::is_final) || status == 404;
+            if !over {
+                sim.after(5.0, move |sim| sim.poll(id));
+            }
+        });
+    }
+
+    /// A user asks for a job once.
+    pub fn poll_once(&mut self, id: JobId) {
+        let path = format!("/api/jobs/{id}");
+        self.ask(id, ("GET", path, Vec::new()), 2.0, |_, _, _| {});
+    }
+
+    /// A user cancels a job and repeats until that is answered.
+    pub fn cancel(&mut self, id: JobId) {
+        self.rules.asks_to_cancel(&id);
+        self.try_cancel(id, self.now);
+    }
+
+    fn try_cancel(&mut self, id: JobId, since: f64) {
+        let path = format!("/api/jobs/{id}/cancel");
+        self.ask(id.clone(), ("POST", path, Vec::new()), 5.0, move |sim, status, _| {
+            if status != 200 && sim.now - since < 60.0 {
+                sim.after(1.0, move |sim| sim.try_cancel(id, since));
+            }
+        });
+    }
+
+    /// Sends bytes that nobody should send to a node, on every path.
+    pub fn send_junk(&mut self, node: usize) {
+        let bodies: [&[u8]; 5] = [b"", b"{", b"[1,2]", b"\xff\xfe\x00", b"{\"name_id\":7}"];
+        for path in ["/api/jobs", "/checkin", "/api/jobs/job-%/cancel", "/api/jobs//", "/"] {
+            for body in bodies {
+                let request = ("POST", path.to_owned(), body.to_vec());
+                self.request(End::Users, node, request, 5.0, |sim, reply| {
+                    let status = reply.map_or(0, |reply| reply.status);
+                    if !(400..500).contains(&status) && status != 503 {
+                        sim.rules.broken.push(("junk", format!("junk was answered {status}")));
+                    }
+                });
+            }
+        }
+    }
+
+    /// The number of nodes.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/state.rs
@@ -0,0 +1,232 @@
+//! A stand-in for the state service.
+
+use gladekeel_store::{Call, Outcome};
+use gladekeel_wire::state::{Event, Events, Row, Rows, Txn, Write};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Changes that are kept for followers.
+const KEPT: usize = 10_000;
+
+/// Limits, as in the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Requests per second.
+    pub rps: f64,
+    /// Writes per second.
+    pub write_rps: f64,
+    /// Writes of a transaction.
+    pub txn_ops: usize,
+    /// Bytes of a value.
+    pub value: usize,
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct State {
+    limits: Limits,
+    rows: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    history: Vec<(u64, Event)>,
+    leases: BTreeMap<u64, (f64, f64)>,
+    next_lease: u64,
+    requests: gladekeel_store::Bucket,
+    writes: gladekeel_store::Bucket,
+    /// During an outage every request is refused.
+    pub down: bool,
+    /// Nodes that are refused although the others are served.
+    pub refused: Vec<usize>,
+    /// What was asked of it that no client may ask.
+    pub abuses: Vec<String>,
+    /// Requests over the budget.
+    pub busy: u64,
+}
+
+impl State {
+    /// An empty service.
+    pub fn new(limits: Limits) -> State {
+        State {
+            limits,
+            rows: BTreeMap::new(),
+            revision: 1,
+            history: Vec::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            requests: gladekeel_store::Bucket::new(limits.rps, limits.rps),
+            writes: gladekeel_store::Bucket::new(limits.write_rps, limits.write_rps),
+            down: false,
+            refused: Vec::new(),
+            abuses: Vec::new(),
+            busy: 0,
+        }
+    }
+
+    /// Begins or ends an outage; after it every lease has its full time again.
+    pub fn set_down(&mut self, now: f64, down: bool) {
+        self.expire(now);
+        self.down = down;
+        if !down {
+            for (ttl, until) in self.leases.values_mut() {
+                *until = now + *ttl;
+            }
+        }
+    }
+
+    fn expire(&mut self, now: f64) {
+        if self.down {
+            return;
+        }
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (_, until))| now > *until).map(|(id, _)| *id).collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .rows
+            .iter()
+            .filter(|(_, (_, _, lease))| *lease == Some(id))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.rows.remove(&key);
+            self.history.push((self.revision, Event::Delete { key, version: self.revision }));
+        }
+    }
+
+    /// Carries out a call of a node.
+    pub fn call(&mut self, now: f64, node: usize, call: &Call) -> Outcome {
+        self.expire(now);
+        if self.down || self.refused.contains(&node) {
+            return Outcome::Refused;
+        }
+        if !self.requests.take(now, 1.0) {
+            self.busy += 1;
+            return Outcome::Busy;
+        }
+        match call {
+            Call::List { prefix, after } => {
+                let from = after.clone().unwrap_or_default();
+                let rows = self.rows.iter().filter(|(key, _)| key.starts_with(prefix.as_str()));
+                let mut items: Vec<Row> = rows
+                    .filter(|(key, _)| key.as_str() > from.as_str())
+                    .take(1001)
+                    .map(|(key, (value, version, _))| Row {
+                        key: key.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                let more = items.len() > 1000;
+                items.truncate(1000);
+                Outcome::Rows(Rows { items, more, revision: self.revision })
+            }
+            Call::Follow { prefix, since } => {
+                if self.history.first().is_some_and(|(first, _)| *since + 1 < *first) {
+                    return Outcome::TooOld;
+                }
+                let events = self
+                    .history
+                    .iter()
+                    .filter(|(revision, event)| {
+                        let (Event::Put { key, .. } | Event::Delete { key, .. }) = event;
+                        revision > since && key.starts_with(prefix.as_str())
+                    })
+                    .map(|(_, event)| event.clone())
+                    .collect();
+                Outcome::Events(Events { revision: self.revision, events })
+            }
+            Call::Commit(txn) => self.commit(now, txn),
+            Call::Grant { ttl_ms } => {
+                let id = self.next_lease;
+                self.next_lease += 1;
+                let ttl = *ttl_ms as f64 / 1000.0;
+                self.leases.insert(id, (ttl, now + ttl));
+                Outcome::Granted(id)
+            }
+            Call::Touch(id) => match self.leases.get_mut(id) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    Outcome::Done
+                }
+                None => Outcome::NoLease,
+            },
+            Call::Revoke(id) if self.leases.contains_key(id) => {
+                self.end_lease(*id);
+                Outcome::Done
+            }
+            Call::Revoke(_) => Outcome::NoLease,
+        }
+    }
+
+    fn commit(&mut self, now: f64, txn: &Txn) -> Outcome {
+        let bytes = serde_json::to_vec(txn).map_or(0, |body| body.len());
+        if bytes > 64 * 1024
+            || txn.writes.len() > self.limits.txn_ops
+            || txn.guards.len() > 4 * self.limits.txn_ops
+        {
+            self.abuses.push(format!("transaction of {bytes} bytes, {} writes", txn.writes.len()));
+        }
+        if !self.writes.take(now, txn.writes.len() as f64) {
+            self.busy += 1;
+            return Outcome::Busy;
+        }
+        for write in &txn.writes {
+            if let Write::Put { key, value, lease } = write {
+                if value.to_string().len() > self.limits.value {
+                    self.abuses.push(format!("value of {key} is too large"));
+                }
+                if lease.is_some_and(|id| !self.leases.contains_key(&id)) {
+                    return Outcome::NoLease;
+                }
+            }
+        }
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|guard| {
+                self.rows.get(&guard.key).map_or(0, |(_, version, _)| *version) != guard.version
+            })
+            .map(|guard| guard.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Outcome::Conflict(failed);
+        }
+        if !txn.writes.is_empty() {
+            self.revision += 1;
+        }
+        let version = self.revision;
+        for write in &txn.writes {
+            let event = match write.clone() {
+                Write::Put { key, value, lease } => {
+                    self.rows.insert(key.clone(), (value.clone(), version, lease));
+                    Event::Put { key, value, version }
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(&key);
+                    Event::Delete { key, version }
+                }
+            };
+            self.history.push((version, event));
+        }
+        if self.history.len() > KEPT {
+            self.history.drain(..self.history.len() - KEPT);
+        }
+        Outcome::Committed(version)
+    }
+
+    /// Puts the start of the kept changes up to now, as if many had passed.
+    pub fn forget_history(&mut self) {
+        self.revision += 1;
+        self.history = vec![(
+            self.revision,
+            Event::Delete { key: "elsewhere".into(), version: self.revision },
+        )];
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -0,0 +1,310 @@
+//! A stand-in for a worker and its machine.
+
+use gladekeel_wire::{
+    TaskId,
+    job::JobSpec,
+    worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState},
+};
+use std::collections::BTreeSet;
+
+/// A task on the worker.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Which.
+    pub task: TaskId,
+    /// Its attempt.
+    pub attempt: u64,
+    /// Its job.
+    pub spec: JobSpec,
+    /// Its state.
+    pub state: TaskState,
+    /// When this state ends by itself.
+    pub until: f64,
+    /// Why it ended.
+    pub cause: Option<Cause>,
+    /// Whether it saved.
+    pub saved: Option<bool>,
+}
+
+/// What happened on a machine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Happened {
+    /// A task is on the machine from now.
+    Started(TaskId),
+    /// A task is no longer on the machine; whether it completed.
+    Ended(TaskId, bool),
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// The machine.
+    pub name: String,
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or not.
+    pub spot: bool,
+    /// CPUs, GPUs, memory.
+    pub room: (f64, f64, f64),
+    /// Session.
+    pub session: u64,
+    /// Number of the last message.
+    pub seq: u64,
+    /// Highest token seen.
+    pub token: u64,
+    /// When the last answered report was sent.
+    pub lease_from: f64,
+    /// Length of its lease.
+    pub lease_s: f64,
+    /// Tasks.
+    pub tasks: Vec<Task>,
+    /// Node that it reports to.
+    pub node: usize,
+    /// Fails every task.
+    pub sick: bool,
+    /// Does nothing for now.
+    pub hung: bool,
+    /// When it goes.
+    pub leaves_at: Option<f64>,
+    /// Whether something changed since the last report.
+    pub changed: bool,
+    /// The report that waits for its answer.
+    pub in_flight: Option<u64>,
+    /// Slowness: run times are this many times longer.
+    pub slow: f64,
+    images: BTreeSet<String>,
+}
+
+impl Worker {
+    /// A worker that has just come up.
+    #[allow(clippy::too_many_arguments, reason = "a machine's fixed properties, spelled out")]
+    pub fn new(
+        name: String,
+        machine_type: String,
+        zone: String,
+        spot: bool,
+        room: (f64, f64, f64),
+        lease_s: f64,
+        now: f64,
+        node: usize,
+    ) -> Worker {
+        Worker {
+            name,
+            machine_type,
+            zone,
+            spot,
+            room,
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: now,
+            lease_s,
+            tasks: Vec::new(),
+            node,
+            sick: false,
+            hung: false,
+            leaves_at: None,
+            changed: true,
+            in_flight: None,
+            slow: 1.0,
+            images: BTreeSet::new(),
+        }
+    }
+
+    /// A report as of now.
+    pub fn report(&mut self, now: f64) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.leaves_at.map(|at| (at - now).max(0.0)),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|task| TaskReport {
+                    task: task.task.clone(),
+                    attempt: task.attempt,
+                    state: task.state,
+                    cause: task.cause,
+                    saved: task.saved,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes an answer to the report that was sent at `sent_at` in `session`.
+    pub fn answered(
+        &mut self,
+        now: f64,
+        session: u64,
+        sent_at: f64,
+        answer: &ReportAnswer,
+        find: &dyn Fn(&TaskId) -> Option<JobSpec>,
+    ) -> Vec<Happened> {
+        if session != self.session || answer.token < self.token {
+            return Vec::new();
+        }
+        if answer.token > self.token {
+            self.token = answer.token;
+            self.changed = true;
+        }
+        self.lease_from = self.lease_from.max(sent_at);
+        answer.commands.iter().flat_map(|command| self.command(now, command, find)).collect()
+    }
+
+    fn command(
+        &mut self,
+        now: f64,
+        command: &Command,
+        find: &dyn Fn(&TaskId) -> Option<JobSpec>,
+    ) -> Vec<Happened> {
+        let mut happened = Vec::new();
+        match command {
+            Command::Start { task, attempt } => {
+                if self.tasks.iter().any(|t| t.task == *task && t.attempt == *attempt) {
+                    return happened;
+                }
+                self.changed = true;
+                let here = |t: &&Task| t.task == *task && t.state != TaskState::Exited;
+                let refused = match find(task) {
+                    None => Some(Cause::Unknown),
+                    Some(_) if self.tasks.iter().any(|t| here(&t)) => Some(Cause::Busy),
+                    Some(spec) if !self.has_room(&spec) => Some(Cause::NoRoom),
+                    Some(spec) => {
+                        let cached = self.images.contains(&spec.image);
+                        let fetch = if cached { 0.0 } else { spec.image_gb };
+                        self.tasks.push(Task {
+                            task: task.clone(),
+                            attempt: *attempt,
+                            spec,
+                            state: TaskState::Fetching,
+                            until: now + fetch,
+                            cause: None,
+                            saved: None,
+                        });
+                        None
+                    }
+                };
+                if let (Some(cause), Some(spec)) = (refused, find(task).or_else(|| self.any_spec()))
+                {
+                    self.tasks.push(Task {
+                        task: task.clone(),
+                        attempt: *attempt,
+                        spec,
+                        state: TaskState::Exited,
+                        until: f64::MAX,
+                        cause: Some(cause),
+                        saved: None,
+                    });
+                }
+            }
+            Command::Stop { task, attempt, grace_s } => {
+                for t in &mut self.tasks {
+                    if t.task != *task || t.attempt != *attempt || t.state == TaskState::Exited {
+                        continue;
+                    }
+                    self.changed = true;
+                    let saves = t.state == TaskState::Running
+                        && t.spec.checkpoint_s > 0.0
+                        && *grace_s >= t.spec.save_s;
+                    if saves {
+                        t.state = TaskState::Saving;
+                        t.until = now + t.spec.save_s;
+                    } else if t.state != TaskState::Saving || *grace_s == 0.0 {
+                        if t.state != TaskState::Fetching {
+                            happened.push(Happened::Ended(t.task.clone(), false));
+                        }
+                        t.state = TaskState::Exited;
+                        t.cause = Some(Cause::Stopped);
+                        t.saved = Some(false);
+                    }
+                }
+            }
+            Command::Forget { task, attempt } => {
+                let before = self.tasks.len();
+                self.tasks.retain(|t| {
+                    t.task != *task || t.attempt != *attempt || t.state != TaskState::Exited
+                });
+                self.changed |= self.tasks.len() != before;
+            }
+        }
+        happened
+    }
+
+    fn any_spec(&self) -> Option<JobSpec> {
+        self.tasks.first().map(|task| task.spec.clone())
+    }
+
+    fn has_room(&self, spec: &JobSpec) -> bool {
+        let there = self.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        let (mut cpus, mut gpus, mut memory) = (spec.cpus, spec.gpus, spec.memory_gb);
+        for task in there {
+            cpus += task.spec.cpus;
+            gpus += task.spec.gpus;
+            memory += task.spec.memory_gb;
+        }
+        cpus <= self.room.0 && gpus <= self.room.1 && memory <= self.room.2
+    }
+
+    /// Lets time pass: tasks go on, the lease runs out.
+    pub fn step(&mut self, now: f64) -> Vec<Happened> {
+        let mut happened = Vec::new();
+        if self.hung {
+            return happened;
+        }
+        if now - self.lease_from > self.lease_s {
+            happened.extend(self.kill_all());
+            self.session += 1;
+            self.seq = 0;
+            self.lease_from = now;
+            self.in_flight = None;
+            self.changed = true;
+            return happened;
+        }
+        for task in self.tasks.iter_mut().filter(|t| t.until <= now) {
+            match task.state {
+                TaskState::Fetching => {
+                    self.images.insert(task.spec.image.clone());
+                    task.state = TaskState::Running;
+                    let fails = self.sick || task.spec.class == "faulty";
+                    let run = if fails { 0.5 } else { task.spec.estimate_s * self.slow };
+                    task.until = now + run;
+                    task.cause = fails.then_some(Cause::Error);
+                    happened.push(Happened::Started(task.task.clone()));
+                }
+                TaskState::Running | TaskState::Saving => {
+                    let saving = task.state == TaskState::Saving;
+                    task.state = TaskState::Exited;
+                    let cause = if saving { Cause::Stopped } else { Cause::Done };
+                    task.cause = Some(task.cause.unwrap_or(cause));
+                    task.saved = saving.then_some(true);
+                    let done = task.cause == Some(Cause::Done);
+                    happened.push(Happened::Ended(task.task.clone(), done));
+                }
+                _ => continue,
+            }
+            self.changed = true;
+        }
+        happened
+    }
+
+    /// Kills and forgets every task.
+    pub fn kill_all(&mut self) -> Vec<Happened> {
+        let ended = self
+            .tasks
+            .iter()
+            .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+            .map(|t| Happened::Ended(t.task.clone(), false))
+            .collect();
+        self.tasks.clear();
+        ended
+    }
+}
