Send run and halt to workers directly, fenced

Cause: a committed start waited for the worker's next report, up to 3.75 s, which is most of the 4 s that release-push allows. Changed: starts and stops go over /do at once; a run without an answer keeps its attempt from being released for absence or forgotten until a new token settles it.

--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -362,6 +362,7 @@
                 match attempt.phase {
                     Phase::Proposed if listed.contains(&id) => {
                         attempt.phase = Phase::Live;
+                        self.direct_wanted.insert(attempt.machine);
                         self.know.counts.starts += 1;
                     }
                     Phase::Releasing(outcome) if !listed.contains(&id) => {
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -92,6 +92,9 @@
             machine.attempts.clear();
             machine.used = Default::default();
             machine.page = None;
+            // Nothing under an older token can start once the worker has seen this one.
+            machine.open_starts.clear();
+            machine.direct_flying = false;
         }
     }
 }
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -5,11 +5,13 @@
 //! follows the rules of `docs/safety.md`.
 
 mod commit;
+mod direct;
 mod fleet;
 mod model;
 mod report;
 mod rounds;
 
+pub use direct::{DirectCall, DirectOutcome};
 pub use model::{Attempt, Job, Machine, Phase, StopWhy};
 
 use crate::{
@@ -24,7 +26,7 @@
 use gladekeel_wire::{JobId, cloud::MachineTypes, settings::Params, state::Txn};
 use model::Catalog;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 
@@ -88,6 +90,8 @@
     round_wanted: bool,
     salt: u64,
     fence: bool,
+    /// Machines for which there may be direct commands.
+    direct_wanted: BTreeSet<u32>,
 }
 
 impl Leader {
@@ -130,6 +134,7 @@
             round_wanted: true,
             salt,
             fence: false,
+            direct_wanted: BTreeSet::new(),
         };
         leader.know.renew(now);
         let mut ids: Vec<(&JobId, u64)> =
@@ -209,6 +214,8 @@
     fn stop_job(&mut self, ix: u32) {
         for attempt in self.attempts.values_mut().filter(|a| a.job == ix) {
             attempt.stop = Some(StopWhy::Cancelled);
+            attempt.stop_sent = 0;
+            self.direct_wanted.insert(attempt.machine);
         }
     }
 
@@ -249,6 +256,7 @@
                 run_since: None,
                 stop: None,
                 stop_sent: 0,
+                sent: true,
                 room: *task,
                 restored: true,
             },
@@ -342,6 +350,7 @@
     /// `heard_zones` are those of the controllers that it hears.
     pub fn tick(&mut self, now: f64, options: &Options, zone: &str, heard_zones: &[&str]) {
         self.watch_machines(now);
+        self.fence |= self.loose_start(now);
         let due = now - self.round_at >= options.round_s
             || (self.round_wanted && now - self.round_at >= options.round_s / 4.0);
         if due && !self.fence {
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -10,7 +10,7 @@
     worker::TaskState,
 };
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
 };
 
@@ -128,6 +128,8 @@
     pub stop: Option<StopWhy>,
     /// How often the stop was sent.
     pub stop_sent: u32,
+    /// Whether its start was sent directly.
+    pub sent: bool,
     /// What it takes.
     pub room: Room,
     /// Whether an earlier token placed it: how long it has run is not known then.
@@ -264,6 +266,13 @@
         }
     }
 
+    /// How long a task may take to save when it is stopped.
+    pub fn grace(&self, why: StopWhy) -> f64 {
+        let saves = self.spec.checkpoint_s > 0.0 && why != StopWhy::Cancelled;
+        // More than the task asks for, so that a slower save is not cut off.
+        if saves { self.spec.save_s * 1.5 + 1.0 } else { 0.0 }
+    }
+
     /// Median of its finished runs.
     pub fn median(&self) -> Option<f64> {
         restart::median(&mut self.runs.clone())
@@ -319,6 +328,11 @@
     pub used: Room,
     /// Page that has its attempts.
     pub page: Option<usize>,
+    /// Attempts whose `run` was sent directly and may still arrive; since when there
+    /// has been no answer, once that is so.
+    pub open_starts: BTreeMap<u64, Option<f64>>,
+    /// Whether a direct command is under way.
+    pub direct_flying: bool,
     /// Images that it should have, oldest use first, with sizes.
     pub images: Vec<(u32, f64)>,
 }
@@ -349,6 +363,8 @@
             attempts: Vec::new(),
             used: Room::default(),
             page: None,
+            open_starts: BTreeMap::new(),
+            direct_flying: false,
             images: Vec::new(),
         }
     }
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -27,6 +27,9 @@
         if (report.session, report.seq) <= machine.newest {
             return answer;
         }
+        if report.session > machine.newest.0 {
+            machine.open_starts.clear();
+        }
         machine.newest = (report.session, report.seq);
         machine.token = machine.token.max(report.token);
         machine.heard_at = Some(now);
@@ -70,7 +73,7 @@
             self.on_task(now, id, own, settled, may_start, &mut answer.commands);
         }
         for (attempt, task) in reported {
-            self.on_stray(attempt, task, settled, &mut answer.commands);
+            self.on_stray(ix, attempt, task, settled, &mut answer.commands);
         }
         answer.commands.sort_by_key(|command| match command {
             Command::Forget { .. } => 0,
@@ -78,6 +81,9 @@
             Command::Start { .. } => 2,
         });
         answer.commands.truncate(MAX_COMMANDS);
+        // The worker reports again as soon as it has seen this token; then direct
+        // commands can reach it.
+        self.direct_wanted.insert(ix);
         answer
     }
 
@@ -102,36 +108,50 @@
                 && self.know.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
             if starting {
                 commands.push(Command::Start { task, attempt: id });
-            } else if settled && (attempt.stop.is_some() || !may_start_ever(self, id)) {
+            } else if settled
+                && !self.know.machines.get(&attempt.machine).is_some_and(|m| m.may_still_start(id))
+                && (attempt.stop.is_some() || !may_start_ever(self, id))
+            {
                 // Not there, and no command that could still start it.
                 self.release(id, Outcome::Again);
             }
             return;
         };
-        attempt.seen = Some(reported.state);
-        if matches!(reported.state, TaskState::Running | TaskState::Saving) {
-            attempt.run_since.get_or_insert(now);
-        }
-        if reported.state == TaskState::Exited {
-            self.on_exit(now, id, reported);
+        if self.on_reported(now, id, reported) {
             return;
         }
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let Some(why) = attempt.stop else { return };
         if reported.state == TaskState::Saving && why != StopWhy::Cancelled {
             return;
         }
-        let spec = &self.jobs[&attempt.job].spec;
-        let saves = spec.checkpoint_s > 0.0 && why != StopWhy::Cancelled;
         attempt.stop_sent += 1;
-        // More than the task asks for, so that a slower save is not cut off.
-        let grace_s = if saves { spec.save_s * 1.5 + 1.0 } else { 0.0 };
+        let grace_s = self.jobs[&attempt.job].grace(why);
         commands.push(Command::Stop { task, attempt: id, grace_s });
     }
 
+    /// Takes in a task's state; tells whether the task has ended.
+    pub(super) fn on_reported(&mut self, now: f64, id: u64, reported: &TaskReport) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return true };
+        if attempt.phase != Phase::Live {
+            return true;
+        }
+        attempt.seen = Some(reported.state);
+        if matches!(reported.state, TaskState::Running | TaskState::Saving) {
+            attempt.run_since.get_or_insert(now);
+        }
+        let ended = reported.state == TaskState::Exited;
+        if ended {
+            self.on_exit(now, id, reported);
+        }
+        ended
+    }
+
     /// A task that is reported but in no page, or that is reported under an
     /// attempt whose release is committed.
     fn on_stray(
         &mut self,
+        machine: u32,
         attempt: u64,
         task: &TaskReport,
         settled: bool,
@@ -141,13 +161,13 @@
             return;
         }
         let task_id = task.task.clone();
-        commands.push(if task.state == TaskState::Exited {
+        if task.state != TaskState::Exited {
+            commands.push(Command::Stop { task: task_id, attempt, grace_s: 0.0 });
+        } else if self.know.machines.get(&machine).is_some_and(|m| !m.may_still_start(attempt)) {
             // Off the pages, so its end is committed; settled, so no `run` of it
             // can still arrive and start it anew.
-            Command::Forget { task: task_id, attempt }
-        } else {
-            Command::Stop { task: task_id, attempt, grace_s: 0.0 }
-        });
+            commands.push(Command::Forget { task: task_id, attempt });
+        }
     }
 
     fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -126,6 +126,7 @@
                 run_since: None,
                 stop: None,
                 stop_sent: 0,
+                sent: false,
                 room: job.room,
                 restored: false,
             },
@@ -156,6 +157,7 @@
         for slow in restart::slow(&runs, options.restart_multiple) {
             if let Some(attempt) = self.attempts.get_mut(&ids[slow]) {
                 attempt.stop = Some(StopWhy::Slow);
+                self.direct_wanted.insert(attempt.machine);
                 let (job, machine) = (
                     self.job_names.name(attempt.job),
                     self.know.machine_names.name(attempt.machine),
@@ -229,6 +231,7 @@
         for id in stopped {
             if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.stop = Some(StopWhy::Preempted);
+                self.direct_wanted.insert(attempt.machine);
                 self.know.counts.preemptions += 1;
                 let job = self.job_names.name(attempt.job);
                 tracing::info!(%job, index = attempt.index, "stopped to make room");
@@ -254,6 +257,7 @@
                             && machine.leaves_at.is_some()
                         {
                             attempt.stop = Some(StopWhy::Drained);
+                            self.direct_wanted.insert(attempt.machine);
                         }
                     }
                     _ => {}
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -6,7 +6,7 @@
     cloud::{CloudCall, CloudOutcome},
     election::{Election, Seen},
     keys::{self, LeaderRecord},
-    leader::Leader,
+    leader::{DirectCall, DirectOutcome, Leader},
     options::Options,
     world::{Topic, World},
 };
@@ -41,6 +41,8 @@
 const STATE_S: f64 = 1.5;
 /// How long a call to the cloud may take.
 const CLOUD_S: f64 = 5.0;
+/// How long a direct command to a worker may take.
+const DIRECT_S: f64 = 3.0;
 /// Without contact for this long, the state service counts as out of reach.
 const FRESH_S: f64 = 2.5;
 /// What is kept of the time until which a cancellation must have ended, for clocks
@@ -81,6 +83,13 @@
         /// What came of it.
         outcome: CloudOutcome,
     },
+    /// A direct command to a worker ended.
+    Direct {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: DirectOutcome,
+    },
     /// A frame from another controller.
     Mesh {
         /// Its head.
@@ -122,6 +131,15 @@
         /// How long to wait.
         limit_s: f64,
     },
+    /// Send commands to a worker.
+    Direct {
+        /// To be named in the event.
+        call: CallId,
+        /// Where to and what.
+        request: DirectCall,
+        /// How long to wait.
+        limit_s: f64,
+    },
     /// Send a frame to another controller: its place among the settings' peers.
     Mesh {
         /// The peer.
@@ -189,6 +207,7 @@
     world: World,
     calls: BTreeMap<CallId, (Purpose, Call, f64)>,
     cloud_calls: BTreeMap<CallId, (u64, CloudCall)>,
+    direct_calls: BTreeMap<CallId, DirectCall>,
     next_call: CallId,
     /// When the last answered reading of the store was sent.
     contact: Option<f64>,
@@ -254,6 +273,7 @@
             world: World::default(),
             calls: BTreeMap::new(),
             cloud_calls: BTreeMap::new(),
+            direct_calls: BTreeMap::new(),
             next_call: 0,
             contact: None,
             state_down: false,
@@ -292,6 +312,13 @@
             Event::Http { id, method, path, body } => self.on_http(now, id, &method, &path, &body),
             Event::State { call, outcome } => self.on_state(now, call, outcome),
             Event::Cloud { call, outcome } => self.on_cloud(now, call, outcome),
+            Event::Direct { call, outcome } => {
+                if let Some(request) = self.direct_calls.remove(&call)
+                    && let Some(leader) = &mut self.leader
+                {
+                    leader.direct_answered(now, &request, &outcome);
+                }
+            }
             Event::Mesh { header, kind, payload } => self.on_mesh(now, &header, kind, &payload),
             Event::Tick => self.on_tick(now),
         }
@@ -857,6 +884,15 @@
                 self.call_state(now, Purpose::Lead(token), Call::Commit(txn));
             }
         }
+        let may_start = self.fresh(now);
+        while let Some(leader) = &mut self.leader
+            && let Some(request) = leader.next_direct(now, may_start)
+        {
+            let call = self.next_call;
+            self.next_call += 1;
+            self.direct_calls.insert(call, request.clone());
+            self.actions.push(Action::Direct { call, request, limit_s: DIRECT_S });
+        }
         while let Some(leader) = &mut self.leader
             && self.cloud.has(now, 1.0)
         {
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -1,6 +1,9 @@
 //! Sockets and a clock for a [`Node`].
 
-use crate::node::{Action, Event, Node, Reply, RequestId};
+use crate::{
+    leader::{DirectCall, DirectOutcome},
+    node::{Action, Event, Node, Reply, RequestId},
+};
 use gladekeel_http::{Client, ClientError, Limits, Request, Response, Server};
 use gladekeel_store::Outcome;
 use gladekeel_wire::{
@@ -28,6 +31,9 @@
 /// Frames that wait for a controller that cannot be reached; newer ones are dropped.
 const MESH_QUEUE: usize = 64;
 
+/// Workers to which connections are kept.
+const MAX_WORKERS: usize = 500;
+
 struct Shell {
     node: RefCell<Node>,
     start: Instant,
@@ -36,6 +42,7 @@
     state: Client,
     cloud: Client,
     mesh: Vec<mpsc::Sender<Vec<u8>>>,
+    workers: RefCell<HashMap<String, Rc<Client>>>,
 }
 
 /// Runs a node until the process ends. Must be called inside a `LocalSet`.
@@ -58,6 +65,7 @@
         state: Client::new(settings.services.state, 8),
         cloud: Client::new(settings.services.cloud, 4),
         mesh,
+        workers: RefCell::default(),
         node: RefCell::new(Node::new(settings.clone(), seed)),
     });
     tracing::info!(node = settings.node, listen = %settings.listen, "started");
@@ -127,6 +135,14 @@
                     shell.handle(Event::Cloud { call, outcome });
                 });
             }
+            Action::Direct { call, request, limit_s } => {
+                let shell = self.clone();
+                spawn_local(async move {
+                    let limit = Duration::from_secs_f64(limit_s);
+                    let outcome = shell.command(&request, limit).await;
+                    shell.handle(Event::Direct { call, outcome });
+                });
+            }
             Action::Mesh { peer, frame } => {
                 // A full queue means that the peer is out of reach; what it would
                 // get later would be stale.
@@ -135,6 +151,33 @@
         }
     }
 
+    /// Sends commands to a worker.
+    async fn command(&self, request: &DirectCall, limit: Duration) -> DirectOutcome {
+        let Some(client) = self.worker(&request.addr) else { return DirectOutcome::NotExecuted };
+        let body = serde_json::to_vec(&request.body).expect("wire types always serialise");
+        match client.send("POST", "/do", &body, limit).await {
+            Ok(reply) if reply.status == 200 => serde_json::from_slice(&reply.body)
+                .map_or(DirectOutcome::Unknown, DirectOutcome::Done),
+            Ok(reply) if matches!(reply.status, 400 | 409) => DirectOutcome::NotExecuted,
+            Ok(_) | Err(ClientError::NoAnswer(_)) => DirectOutcome::Unknown,
+            Err(ClientError::NotSent(_)) => DirectOutcome::NotExecuted,
+        }
+    }
+
+    fn worker(&self, addr: &str) -> Option<Rc<Client>> {
+        let mut workers = self.workers.borrow_mut();
+        if let Some(client) = workers.get(addr) {
+            return Some(client.clone());
+        }
+        // Machines come and go; connections to ones that are gone are not kept for ever.
+        if workers.len() >= MAX_WORKERS {
+            workers.clear();
+        }
+        let client = Rc::new(Client::new(addr.parse().ok()?, 1));
+        workers.insert(addr.to_owned(), client.clone());
+        Some(client)
+    }
+
     async fn answer(self: Rc<Self>, request: Request) -> Response {
         let id = self.next_request.get();
         self.next_request.set(id + 1);
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -8,6 +8,7 @@
 };
 use gladekeel_controller::{
     cloud::{CloudCall, CloudOutcome},
+    leader::{DirectCall, DirectOutcome},
     node::{Action, CallId, Event, Node, Reply, RequestId},
 };
 use gladekeel_store::{Call, Outcome};
@@ -16,7 +17,7 @@
     job::{JobSpec, JobState, JobStatus},
     mesh::Header,
     settings::Settings,
-    worker::{Command, Redirect, ReportAnswer},
+    worker::{Command, Direct, Redirect, ReportAnswer},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -339,6 +340,9 @@
             Action::Cloud { call, request, limit_s } => {
                 self.call_cloud(node, incarnation, call, request, limit_s);
             }
+            Action::Direct { call, request, limit_s } => {
+                self.call_worker(node, incarnation, call, request, limit_s);
+            }
             Action::Mesh { peer, frame } => {
                 let name = self.nodes[node].settings.peers[peer].node.clone();
                 let to = self.nodes.iter().position(|slot| slot.settings.node == name);
@@ -421,6 +425,47 @@
         }
     }
 
+    fn call_worker(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: CallId,
+        request: DirectCall,
+        limit_s: f64,
+    ) {
+        self.after(limit_s, move |sim| {
+            sim.event(node, incarnation, Event::Direct { call, outcome: DirectOutcome::Unknown });
+        });
+        // Addresses of workers are their machines' names here.
+        let Some(worker) = self.workers.get(&request.addr) else { return };
+        let zone = worker.zone.clone();
+        self.deliver(&End::Node(node), &End::Worker(zone.clone()), move |sim| {
+            let Some(worker) = sim.workers.get_mut(&request.addr) else { return };
+            if worker.hung {
+                return worker.held.push(request.body);
+            }
+            let outcome = sim.direct(&request.addr, &request.body);
+            sim.deliver(&End::Worker(zone), &End::Node(node), move |sim| {
+                sim.event(node, incarnation, Event::Direct { call, outcome });
+            });
+        });
+    }
+
+    fn direct(&mut self, name: &str, body: &Direct) -> DirectOutcome {
+        let Some(worker) = self.workers.get_mut(name) else { return DirectOutcome::NotExecuted };
+        let rules = &self.rules;
+        let find = |task: &TaskId| rules.spec(&task.job).filter(|s| task.index < s.tasks);
+        let (executed, happened) = worker.direct(self.now, body, &find);
+        let report = worker.report(self.now);
+        let (kind, zone, spot) = (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
+        self.note(name, &kind, &zone, spot, happened);
+        if self.start_twice {
+            let answer = ReportAnswer { token: body.token, commands: body.commands.clone() };
+            self.sabotage(name, &answer);
+        }
+        if executed { DirectOutcome::Done(report) } else { DirectOutcome::NotExecuted }
+    }
+
     // ---- requests to nodes ----------------------------------------------
 
     fn request(
@@ -535,6 +580,14 @@
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&name) else { return };
         let happened = worker.step(now);
+        if !worker.hung && !worker.held.is_empty() {
+            // A machine that goes on carries out what reached it meanwhile.
+            let held = std::mem::take(&mut worker.held);
+            for body in held {
+                self.direct(&name, &body);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&name) else { return };
         let (machine_type, zone, spot) =
             (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
         let due = now >= report_at || (worker.changed && now >= report_at - self.report_s + 0.5);
@@ -599,6 +652,9 @@
 
     /// Starts what a worker was told to start on another machine as well.
     fn sabotage(&mut self, name: &str, answer: &ReportAnswer) {
+        if answer.commands.is_empty() {
+            return;
+        }
         let starts: Vec<Command> = answer
             .commands
             .iter()
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -3,7 +3,7 @@
 use gladekeel_wire::{
     TaskId,
     job::JobSpec,
-    worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState},
+    worker::{Cause, Command, Direct, Report, ReportAnswer, TaskReport, TaskState},
 };
 use std::collections::BTreeSet;
 
@@ -72,6 +72,8 @@
     pub changed: bool,
     /// The report that waits for its answer.
     pub in_flight: Option<u64>,
+    /// Direct commands that wait while it hangs.
+    pub held: Vec<Direct>,
     /// Slowness: run times are this many times longer.
     pub slow: f64,
     images: BTreeSet<String>,
@@ -108,6 +110,7 @@
             leaves_at: None,
             changed: true,
             in_flight: None,
+            held: Vec::new(),
             slow: 1.0,
             images: BTreeSet::new(),
         }
@@ -118,7 +121,7 @@
         self.seq += 1;
         Report {
             machine: self.name.clone(),
-            addr: "127.0.0.1:9".into(),
+            addr: self.name.clone(),
             machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
@@ -160,6 +163,24 @@
         answer.commands.iter().flat_map(|command| self.command(now, command, find)).collect()
     }
 
+    /// Carries out direct commands; tells whether it did.
+    pub fn direct(
+        &mut self,
+        now: f64,
+        direct: &Direct,
+        find: &dyn Fn(&TaskId) -> Option<JobSpec>,
+    ) -> (bool, Vec<Happened>) {
+        if direct.token < self.token || direct.session != self.session {
+            return (false, Vec::new());
+        }
+        if direct.token > self.token {
+            self.token = direct.token;
+            self.changed = true;
+        }
+        let happened = direct.commands.iter().flat_map(|c| self.command(now, c, find)).collect();
+        (true, happened)
+    }
+
     fn command(
         &mut self,
         now: f64,
