Size the fleet by when work is due; return idle ordinary machines at once

Cause: spend by activity showed that idle machines and boots of machines that came too late for their burst cost as much as half of the useful work; preemption after 1.5 s threw away work of tasks that cannot save.

--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -5,10 +5,11 @@
     cloud::{CloudCall, CloudOutcome},
     options::Options,
 };
-use gladekeel_sched::fleet::{Demand, Sizer, Sizing};
+use gladekeel_sched::fleet::{Need, Sizer, Supply};
 use gladekeel_wire::cloud::{
     MAX_DELETE, MAX_RENT, MachineList, MachineRow, MachineState, MachineTypes, Rent,
 };
+use gladekeel_wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// How long the names of deleted machines are remembered, against late reports and lists.
@@ -277,14 +278,53 @@
         }
     }
 
+    /// Adds up what machines cost since the last time, by what they were doing.
+    pub(super) fn count_spend(&mut self, now: f64) {
+        let hours = (now - self.spend_at).max(0.0) / 3600.0;
+        self.spend_at = now;
+        let spend = &mut self.know.counts.spend;
+        for machine in self.know.machines.values().filter(|m| !m.gone) {
+            let Some(kind) = machine.kind else { continue };
+            let (Some(machine_type), Some(whole)) =
+                (self.catalog.machine_type(kind), self.catalog.room(kind))
+            else {
+                continue;
+            };
+            let spot = machine_type.spot_price.filter(|_| machine.spot);
+            let cost = spot.unwrap_or(machine_type.price) * hours;
+            if machine.heard_at.is_none() {
+                spend.boot += cost;
+            } else if machine.attempts.is_empty() {
+                spend.idle += cost;
+            } else {
+                let (mut running, mut waiting) = (0.0, 0.0);
+                for attempt in machine.attempts.iter().filter_map(|id| self.attempts.get(id)) {
+                    let part = attempt.room.share_of(whole);
+                    match attempt.seen {
+                        Some(TaskState::Running) => running += part,
+                        _ => waiting += part,
+                    }
+                }
+                spend.running += cost * running;
+                spend.waiting += cost * waiting;
+                spend.gaps += cost * (1.0 - running - waiting).max(0.0);
+            }
+        }
+        if now - self.spend_told >= 60.0 {
+            self.spend_told = now;
+            tracing::info!(?spend, machines = self.know.machines.len(), "spent so far");
+        }
+    }
+
     /// Decides which machines to rent and which to return.
     pub(super) fn size_fleet(&mut self, now: f64, options: &Options) {
         self.know.fleet.deleted.retain(|_, at| now - *at < TOMBSTONE_S);
         self.know.machines.retain(|_, machine| !(machine.gone && machine.attempts.is_empty()));
         self.know.fleet.wanted.clear();
-        let demands = self.demands(&options.sizing, now);
-        for (kind, (any, ordinary)) in demands {
-            self.size_kind(now, options, kind, any, ordinary);
+        let mut needs = self.needs(now);
+        for kind in 0..self.catalog.types.len() as u32 {
+            let needs = needs.remove(&kind).unwrap_or_default();
+            self.size_kind(now, options, kind, &needs);
         }
     }
 
@@ -354,10 +394,10 @@
         }
     }
 
-    /// Demand by machine type, in machines: for all work, and for work that may
-    /// not use spot machines.
-    fn demands(&mut self, sizing: &Sizing, now: f64) -> BTreeMap<u32, (f64, f64)> {
-        let mut demands: BTreeMap<(u32, bool), Demand> = BTreeMap::new();
+    /// What unfinished jobs need, by machine type; with it whether they may use
+    /// spot machines.
+    fn needs(&self, now: f64) -> BTreeMap<u32, Vec<(bool, Need)>> {
+        let mut needs: BTreeMap<u32, Vec<(bool, Need)>> = BTreeMap::new();
         let mut left: Vec<_> = self.teams.iter().map(|team| team.limit).collect();
         for job in self.jobs.values().filter(|job| !job.over()) {
             let Some((kind, fits)) = self.kind_for(job) else { continue };
@@ -366,36 +406,25 @@
                 job.remaining(),
             );
             left[job.team as usize] -= job.room * i64::from(allowed);
-            let ratio = self.know.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
-            let run_s = (job.spec.estimate_s * ratio).max(1.0);
             let running = job.assigned.min(allowed);
             let pending = if now < job.hold_until { 0 } else { allowed - running };
-            let size = 1.0 / f64::from(fits);
-            for ordinary in [false, true] {
-                if ordinary && job.spec.spot {
-                    continue;
-                }
-                let demand = demands.entry((kind, ordinary)).or_default();
-                demand.running += f64::from(running) * size;
-                demand.pending += f64::from(pending) * size;
-                demand.work += (f64::from(pending) + f64::from(running) * 0.5) * size * run_s;
-            }
-        }
-        let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
-        for kind in 0..self.catalog.types.len() as u32 {
-            for ordinary in [false, true] {
-                let demand = demands.get(&(kind, ordinary)).copied().unwrap_or_default();
-                let sizer = self.know.fleet.sizers.entry((kind, ordinary)).or_default();
-                let machines = sizer.wanted(now, demand, sizing);
-                let both = wanted.entry(kind).or_default();
-                if ordinary {
-                    both.1 = machines;
-                } else {
-                    both.0 = machines;
-                }
-            }
+            let run_s = self.expected_run(job);
+            let need = Need {
+                pending: f64::from(pending) / f64::from(fits),
+                running: f64::from(running) / f64::from(fits),
+                run_s,
+                left_s: job.due_s(&self.params, run_s) - (now - job.known_at),
+            };
+            needs.entry(kind).or_default().push((job.spec.spot, need));
         }
-        wanted
+        needs
+    }
+
+    /// How long a task of the job runs: the owner's estimate, put right by what
+    /// its class has shown.
+    fn expected_run(&self, job: &super::Job) -> f64 {
+        let ratio = self.know.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
+        (job.spec.estimate_s * ratio).max(1.0)
     }
 
     /// The type on which a job's tasks cost least, and how many fit on one.
@@ -418,41 +447,64 @@
             .map(|(_, kind, fits)| (kind, fits))
     }
 
-    fn size_kind(&mut self, now: f64, options: &Options, kind: u32, any: f64, ordinary: f64) {
+    /// What there is of a type, and of its ordinary machines alone.
+    fn supply(&self, now: f64, kind: u32, boot_s: f64) -> (Supply, Supply) {
+        let (mut any, mut ordinary) = (Supply::default(), Supply::default());
+        for machine in self.know.machines.values() {
+            if machine.kind != Some(kind) || machine.leaving() {
+                continue;
+            }
+            let age = now - machine.born;
+            for supply in [Some(&mut any), (!machine.spot).then_some(&mut ordinary)] {
+                let Some(supply) = supply else { continue };
+                if machine.heard_at.is_some() {
+                    supply.up += 1.0;
+                } else if age <= boot_s * 1.6 + 5.0 {
+                    // One that boots unusually long is no longer counted on.
+                    supply.booting.push((boot_s - age).max(5.0));
+                }
+            }
+        }
+        if let Some((rent, shelf)) = &self.know.fleet.rent
+            && shelf.0 == kind
+        {
+            let booting = vec![boot_s; rent.count as usize];
+            any.booting.extend(&booting);
+            if !shelf.2 {
+                ordinary.booting.extend(&booting);
+            }
+        }
+        (any, ordinary)
+    }
+
+    fn size_kind(&mut self, now: f64, options: &Options, kind: u32, needs: &[(bool, Need)]) {
         let Some(machine_type) = self.catalog.machine_type(kind) else { return };
-        let boot = machine_type.boot_s;
+        let boot_s = machine_type.boot_s;
         let zones: Vec<u32> = machine_type
             .zones
             .iter()
             .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
             .collect();
         let may_spot = machine_type.spot_price.is_some();
-        let (mut have, mut have_ordinary) = (0usize, 0usize);
+        let (supply, supply_ordinary) = self.supply(now, kind, boot_s);
+        let all: Vec<Need> = needs.iter().map(|(_, need)| *need).collect();
+        let no_spot: Vec<Need> =
+            needs.iter().filter(|(spot, _)| !spot).map(|(_, need)| *need).collect();
+        let fleet = &mut self.know.fleet;
+        let mut plan = |ordinary: bool, needs: &[Need], supply: &Supply| {
+            let sizer = fleet.sizers.entry((kind, ordinary)).or_default();
+            sizer.plan(now, needs, supply, boot_s, &options.sizing)
+        };
+        let any = plan(false, &all, &supply);
+        let ordinary = plan(true, &no_spot, &supply_ordinary);
         let mut by_zone: BTreeMap<(u32, bool), usize> = BTreeMap::new();
         for machine in self.know.machines.values() {
-            if machine.kind != Some(kind) || machine.leaving() {
-                continue;
-            }
-            // One that boots unusually long is no longer counted on.
-            if machine.heard_at.is_none() && now - machine.born > boot * 1.6 + 5.0 {
-                continue;
-            }
-            have += 1;
-            have_ordinary += usize::from(!machine.spot);
-            if let Some(zone) = machine.zone {
+            if let Some(zone) = machine.zone.filter(|_| machine.kind == Some(kind)) {
                 *by_zone.entry((zone, machine.spot)).or_default() += 1;
             }
         }
-        if let Some((rent, shelf)) = &self.know.fleet.rent
-            && shelf.0 == kind
-        {
-            have += rent.count as usize;
-            have_ordinary += if shelf.2 { 0 } else { rent.count as usize };
-        }
-        let want = any.ceil() as usize;
-        let want_ordinary = ordinary.ceil() as usize;
-        let mut need = want.saturating_sub(have);
-        let need_ordinary = want_ordinary.saturating_sub(have_ordinary).min(need.max(1));
+        let mut need = any.rent.ceil() as usize;
+        let need_ordinary = (ordinary.rent.ceil() as usize).min(need.max(1));
         for spot in [true, false] {
             let share = if spot { need.saturating_sub(need_ordinary) } else { need };
             if share == 0 || (spot && !may_spot) {
@@ -483,32 +535,25 @@
                 need = need_ordinary;
             }
         }
-        let spare = have.saturating_sub(want);
-        if spare > 0 {
-            self.return_idle(
-                now,
-                options,
-                kind,
-                spare,
-                have_ordinary.saturating_sub(want_ordinary),
-            );
-        }
+        // Ordinary machines go as soon as they are not needed; cheap ones stay for
+        // what usually comes.
+        let have = supply.up + supply.booting.len() as f64;
+        let have_ordinary = supply_ordinary.up + supply_ordinary.booting.len() as f64;
+        let over = |have: f64, bound: f64| (have - bound.round()).max(0.0) as usize;
+        let spare_ordinary = over(have_ordinary, ordinary.need).min(over(have, any.need));
+        let spare_spot = over(have, any.keep).saturating_sub(spare_ordinary);
+        self.return_idle(now, options, kind, false, spare_ordinary);
+        self.return_idle(now, options, kind, true, spare_spot);
     }
 
-    fn return_idle(
-        &mut self,
-        now: f64,
-        options: &Options,
-        kind: u32,
-        spare: usize,
-        ordinary: usize,
-    ) {
-        let mut idle: Vec<(bool, f64, u32)> = self
+    fn return_idle(&mut self, now: f64, options: &Options, kind: u32, spot: bool, spare: usize) {
+        let mut idle: Vec<(f64, u32)> = self
             .know
             .machines
             .iter()
             .filter(|(_, m)| {
                 m.kind == Some(kind)
+                    && m.spot == spot
                     && !m.leaving()
                     && m.heard_at.is_some()
                     && m.attempts.is_empty()
@@ -516,21 +561,13 @@
                     // A minute is charged in any case.
                     && now - m.born >= 55.0
             })
-            .map(|(ix, m)| (m.spot, m.idle_since, *ix))
+            .map(|(ix, m)| (m.idle_since, *ix))
             .collect();
-        // Ordinary ones cost most; then those that have been idle longest.
-        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let mut ordinary_left = ordinary;
-        let mut left = spare;
-        for (spot, _, ix) in idle {
-            if left == 0 || (!spot && ordinary_left == 0) {
-                continue;
-            }
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, ix) in idle.into_iter().take(spare) {
             if let Some(machine) = self.know.machines.get_mut(&ix) {
                 tracing::info!(machine = machine.name, spot, "idle: returned");
                 machine.delete = Some("idle");
-                left -= 1;
-                ordinary_left -= usize::from(!spot);
             }
         }
     }
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -55,6 +55,23 @@
     pub commits: u64,
     /// Writes in them.
     pub writes: u64,
+    /// Estimate of the money spent, by what machines were doing.
+    pub spend: Spend,
+}
+
+/// Money by what machines were doing; parts of a machine count as parts.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Spend {
+    /// Not up yet.
+    pub boot: f64,
+    /// Up without any work.
+    pub idle: f64,
+    /// Room left over beside work.
+    pub gaps: f64,
+    /// Assigned, not running yet: on the way, fetching.
+    pub waiting: f64,
+    /// Running.
+    pub running: f64,
 }
 
 /// What the leader knows besides what is in the store. It outlives a change of
@@ -88,6 +105,8 @@
     next_attempt: u64,
     round_at: f64,
     round_wanted: bool,
+    spend_at: f64,
+    spend_told: f64,
     salt: u64,
     fence: bool,
     /// Machines for which there may be direct commands.
@@ -132,6 +151,8 @@
             next_attempt: token * ATTEMPTS_PER_TOKEN,
             round_at: now,
             round_wanted: true,
+            spend_at: now,
+            spend_told: now,
             salt,
             fence: false,
             direct_wanted: BTreeSet::new(),
@@ -357,6 +378,7 @@
             self.round_at = now;
             self.round_wanted = false;
             self.know.counts.rounds += 1;
+            self.count_spend(now);
             self.round(now, options);
             self.find_dead(now, options, zone, heard_zones);
             self.size_fleet(now, options);
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -266,6 +266,17 @@
         }
     }
 
+    /// How long after its submission the job should be complete: its deadline, the
+    /// users' aim for its class, or else a few times what it runs.
+    pub fn due_s(&self, params: &Params, run_s: f64) -> f64 {
+        let aims = params
+            .objectives
+            .iter()
+            .filter(|aim| aim.kind == "finished" && aim.class.as_deref() == Some(&self.spec.class));
+        let aim = aims.filter_map(|aim| aim.within_s).min_by(f64::total_cmp);
+        self.spec.deadline_s.or(aim).unwrap_or(4.0 * run_s)
+    }
+
     /// How long a task may take to save when it is stopped.
     pub fn grace(&self, why: StopWhy) -> f64 {
         let saves = self.spec.checkpoint_s > 0.0 && why != StopWhy::Cancelled;
--- a/crates/gladekeel-controller/src/options.rs
+++ b/crates/gladekeel-controller/src/options.rs
@@ -27,9 +27,9 @@
             hopper: Hopper::default(),
             round_s: 1.0,
             restart_multiple: 3.0,
-            idle_s: 25.0,
+            idle_s: 15.0,
             silent_s: 9.0,
-            preempt_after_s: 1.5,
+            preempt_after_s: 6.0,
             sizing: Sizing::default(),
         }
     }
--- a/crates/gladekeel-sched/src/fleet.rs
+++ b/crates/gladekeel-sched/src/fleet.rs
@@ -1,70 +1,115 @@
 //! How many machines there should be.
 
-/// What sizing looks at, in CPUs of the machine type in question.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Demand {
-    /// Used by tasks on machines.
-    pub running: f64,
-    /// Wanted by tasks on no machine, within their teams' limits.
+/// What a job needs of a machine type.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Need {
+    /// Tasks on no machine, in machines: each counts the part that it takes.
     pub pending: f64,
-    /// CPU-seconds of work left in both.
-    pub work: f64,
+    /// Tasks on machines, likewise.
+    pub running: f64,
+    /// Expected time of a task, in seconds.
+    pub run_s: f64,
+    /// Time left until the job should be complete.
+    pub left_s: f64,
 }
 
-/// A smoothed load with the aims of sizing.
-#[derive(Debug, Clone)]
-pub struct Sizer {
-    load: Option<f64>,
-    at: f64,
+impl Need {
+    /// Machine-seconds of work left.
+    fn work(&self) -> f64 {
+        (self.pending + 0.5 * self.running) * self.run_s
+    }
+}
+
+/// Machines that there are.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Supply {
+    /// Up.
+    pub up: f64,
+    /// Not up yet: expected seconds until each is.
+    pub booting: Vec<f64>,
+}
+
+impl Supply {
+    /// Machine-seconds until a time.
+    fn until(&self, time: f64) -> f64 {
+        self.up * time + self.booting.iter().map(|boot| (time - boot).max(0.0)).sum::<f64>()
+    }
+}
+
+/// How many machines to have.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Plan {
+    /// Machines to rent.
+    pub rent: f64,
+    /// Machines that are needed as things are; more may go back.
+    pub need: f64,
+    /// Cheap idle machines stay up to this many, for what usually comes.
+    pub keep: f64,
 }
 
 /// What is open to measurement in sizing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Sizing {
-    /// Time constant of the smoothed load, in seconds.
+    /// Time constant of the smoothed need, in seconds.
     pub memory_s: f64,
-    /// Room kept above the smoothed load, as a part of it.
-    pub headroom: f64,
-    /// A backlog should be worked off within this time of machines being up.
-    pub clear_s: f64,
+    /// Part of the smoothed need that cheap idle machines are kept for.
+    pub keep: f64,
+    /// Part of a machine's time that is counted on: tasks don't fill machines without gaps.
+    pub fill: f64,
 }
 
 impl Default for Sizing {
     fn default() -> Self {
-        Sizing { memory_s: 90.0, headroom: 0.25, clear_s: 40.0 }
+        Sizing { memory_s: 60.0, keep: 0.8, fill: 0.35 }
     }
 }
 
-impl Default for Sizer {
-    fn default() -> Self {
-        Sizer::new()
-    }
+/// Plans the machines of one type.
+#[derive(Debug, Clone, Default)]
+pub struct Sizer {
+    load: f64,
+    at: f64,
 }
 
 impl Sizer {
-    /// A sizer that has seen nothing.
-    pub fn new() -> Sizer {
-        Sizer { load: None, at: 0.0 }
-    }
-
-    /// Takes a new reading and returns how many CPUs there should be.
+    /// Plans for the needs of all jobs as of now.
     ///
-    /// The smoothed load with headroom is what comes in steadily. A backlog
-    /// beyond it is given what works it off in time, but never more than what
-    /// can run at once.
-    pub fn wanted(&mut self, now: f64, demand: Demand, sizing: &Sizing) -> f64 {
-        let current = demand.running + demand.pending;
-        let load = match self.load {
-            None => current,
-            Some(before) => {
-                let weight = (-(now - self.at).max(0.0) / sizing.memory_s).exp();
-                before * weight + current * (1.0 - weight)
-            }
+    /// Work that is due by a time must fit into what machines can do until then.
+    /// Of what does not fit, new machines do their part from the end of their boot
+    /// on; work that is due sooner is late in any case and counts as due when a new
+    /// machine could have done it.
+    pub fn plan(
+        &mut self,
+        now: f64,
+        needs: &[Need],
+        supply: &Supply,
+        boot_s: f64,
+        sizing: &Sizing,
+    ) -> Plan {
+        let running: f64 = needs.iter().map(|need| need.running).sum();
+        let due = |least: &dyn Fn(&Need) -> f64| {
+            let mut due: Vec<(f64, f64)> =
+                needs.iter().map(|need| (need.left_s.max(least(need)), need.work())).collect();
+            due.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut sum = 0.0;
+            due.iter_mut().for_each(|(_, work)| {
+                sum += *work / sizing.fill;
+                *work = sum;
+            });
+            due
         };
-        (self.load, self.at) = (Some(load), now);
-        let steady = load * (1.0 + sizing.headroom);
-        let backlog = (demand.work / sizing.clear_s).min(current);
-        steady.max(backlog).max(demand.running)
+        let need = due(&|need| need.run_s)
+            .into_iter()
+            .map(|(time, work)| work / time)
+            .fold(running, f64::max);
+        let rent = due(&|need| boot_s + need.run_s)
+            .into_iter()
+            .map(|(time, work)| (work - supply.until(time)) / (time - boot_s).max(1.0))
+            .fold(0.0, f64::max);
+        let weight = (-(now - self.at).max(0.0) / sizing.memory_s).exp();
+        self.load = self.load * weight + need * (1.0 - weight);
+        self.at = now;
+        Plan { rent, need, keep: need.max(self.load * sizing.keep) }
     }
 }
 
@@ -72,19 +117,34 @@
 mod tests {
     use super::*;
 
+    const SIZING: Sizing = Sizing { memory_s: 60.0, keep: 1.0, fill: 1.0 };
+
+    fn plan(needs: &[Need], up: f64, booting: &[f64]) -> Plan {
+        let supply = Supply { up, booting: booting.to_vec() };
+        Sizer::default().plan(0.0, needs, &supply, 50.0, &SIZING)
+    }
+
+    #[test]
+    fn what_fits_before_it_is_due_needs_no_machine() {
+        let need = |left_s| Need { pending: 10.0, running: 0.0, run_s: 30.0, left_s };
+        assert_eq!(plan(&[need(150.0)], 2.0, &[]).rent, 0.0);
+        assert_eq!(plan(&[need(150.0)], 0.0, &[]).rent, 3.0);
+        assert_eq!(plan(&[need(150.0)], 0.0, &[50.0, 50.0]).rent, 1.0);
+        assert_eq!(plan(&[need(150.0)], 9.0, &[]).need, 2.0);
+        assert_eq!(plan(&[need(-9.0)], 0.0, &[]).rent, 10.0, "late work is done all at once");
+        let both = plan(&[need(150.0), need(300.0)], 0.0, &[]);
+        assert_eq!(both.rent, 3.0, "work due later waits for the same machines");
+        assert_eq!(plan(&[Need { running: 4.0, ..need(900.0) }], 4.0, &[]).need, 4.0);
+    }
+
     #[test]
-    fn bursts_count_at_once_and_lulls_slowly() {
-        let sizing = Sizing { memory_s: 60.0, headroom: 0.0, clear_s: 30.0 };
-        let mut sizer = Sizer::new();
-        assert_eq!(sizer.wanted(0.0, Demand::default(), &sizing), 0.0);
-        let burst = Demand { running: 0.0, pending: 640.0, work: 6400.0 };
-        let wanted = sizer.wanted(1.0, burst, &sizing);
-        assert!((wanted - 6400.0 / 30.0).abs() < 1e-6, "{wanted}");
-        for second in 2..60 {
-            sizer.wanted(f64::from(second), burst, &sizing);
+    fn lulls_are_believed_slowly() {
+        let mut sizer = Sizer::default();
+        let needs = [Need { pending: 10.0, running: 0.0, run_s: 30.0, left_s: 0.0 }];
+        for second in 0..200 {
+            sizer.plan(f64::from(second), &needs, &Supply::default(), 50.0, &SIZING);
         }
-        let after = sizer.wanted(61.0, Demand::default(), &sizing);
-        assert!((300.0..640.0).contains(&after), "{after}");
-        assert!(sizer.wanted(600.0, Demand::default(), &sizing) < 1.0);
+        let after = sizer.plan(230.0, &[], &Supply::default(), 50.0, &SIZING);
+        assert!(after.need == 0.0 && (4.0..7.0).contains(&after.keep), "{after:?}");
     }
 }
