Preempt tasks that save after 1 s and at once, others after 6 s

Cause: release-push waits for room behind work of lower priority that would lose only seconds if it were stopped right after a checkpoint.

--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -279,7 +279,10 @@
 
     /// How long a task may take to save when it is stopped.
     pub fn grace(&self, why: StopWhy) -> f64 {
-        let saves = self.spec.checkpoint_s > 0.0 && why != StopWhy::Cancelled;
+        // Room made for others is wanted at once, and the victim was chosen for how
+        // little it loses since its last checkpoint.
+        let at_once = matches!(why, StopWhy::Cancelled | StopWhy::Preempted);
+        let saves = self.spec.checkpoint_s > 0.0 && !at_once;
         // More than the task asks for, so that a slower save is not cut off.
         if saves { self.spec.save_s * 1.5 + 1.0 } else { 0.0 }
     }
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -169,13 +169,12 @@
 
     /// Stops tasks for others that have a better claim and found no room.
     fn make_room(&mut self, now: f64, options: &Options) {
-        let waiting = |leader: &Leader, ix: u32| {
-            leader.jobs.get(&ix).is_some_and(|job| {
-                now >= job.hold_until
-                    && !job.pending.is_empty()
-                    && job.waits_since.is_some_and(|since| now - since >= options.preempt_after_s)
-            })
+        let waited = |leader: &Leader, ix: u32| {
+            let job = leader.jobs.get(&ix)?;
+            (now >= job.hold_until && !job.pending.is_empty()).then_some(now - job.waits_since?)
         };
+        let first = options.preempt_after_s.min(options.preempt_saving_after_s);
+        let waiting = |leader: &Leader, ix: u32| waited(leader, ix).is_some_and(|s| s >= first);
         for job in self.jobs.values_mut().filter(|job| !job.over() && !job.pending.is_empty()) {
             job.waits_since.get_or_insert(now);
         }
@@ -195,14 +194,16 @@
                 picture.round.teams[job.team as usize].used -= attempt.room;
             } else if attempt.phase == Phase::Live {
                 let ran = attempt.run_since.map_or(0.0, |since| now - since);
-                let kept = job.spec.checkpoint_s;
+                let saved = job.spec.checkpoint_s;
                 victims.push(Victim {
                     id: *id,
                     machine: *at,
                     team: job.team,
                     priority: job.spec.priority as u8,
                     task: attempt.room,
-                    loss_s: if kept > 0.0 { job.spec.save_s } else { ran },
+                    // What was saved is not lost. Work counts by the room it takes.
+                    loss: if saved > 0.0 { ran % saved } else { ran } * job.spec.cpus,
+                    saves: saved > 0.0,
                 });
             }
         }
@@ -212,9 +213,17 @@
             if stopped.len() >= MAX_PREEMPTING || !waiting(self, picture.jobs[at]) {
                 continue;
             }
+            // Tasks that lose little are stopped soon, others after a longer wait.
+            let patient = waited(self, picture.jobs[at]).unwrap_or(0.0) < options.preempt_after_s;
             while picture.round.jobs[at].pending > 0 && stopped.len() < MAX_PREEMPTING {
                 let job = picture.round.jobs[at].clone();
-                let Some((machine, ids)) = place::preempt(&picture.round, &job, &victims) else {
+                let found = if patient {
+                    let saving: Vec<Victim> = victims.iter().copied().filter(|v| v.saves).collect();
+                    place::preempt(&picture.round, &job, &saving)
+                } else {
+                    place::preempt(&picture.round, &job, &victims)
+                };
+                let Some((machine, ids)) = found else {
                     break;
                 };
                 for victim in victims.iter().filter(|v| ids.contains(&v.id)) {
--- a/crates/gladekeel-controller/src/options.rs
+++ b/crates/gladekeel-controller/src/options.rs
@@ -17,6 +17,8 @@
     pub silent_s: f64,
     /// A task waits this long for room before others are stopped for it.
     pub preempt_after_s: f64,
+    /// The same before others are stopped that save their progress.
+    pub preempt_saving_after_s: f64,
     /// How the fleet is sized.
     pub sizing: Sizing,
 }
@@ -30,6 +32,7 @@
             idle_s: 15.0,
             silent_s: 9.0,
             preempt_after_s: 6.0,
+            preempt_saving_after_s: 1.0,
             sizing: Sizing::default(),
         }
     }
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -266,8 +266,10 @@
     pub priority: u8,
     /// What it takes.
     pub task: Room,
-    /// Work that stopping it would lose, in seconds.
-    pub loss_s: f64,
+    /// Work that stopping it would lose, in CPU-seconds.
+    pub loss: f64,
+    /// Whether it saves its progress.
+    pub saves: bool,
 }
 
 /// Which tasks to stop so that a waiting task of `job` fits somewhere.
@@ -297,14 +299,14 @@
                             && !within(other.used, other.guarantee)))
             })
             .collect();
-        here.sort_by(|a, b| a.loss_s.total_cmp(&b.loss_s).then(a.id.cmp(&b.id)));
+        here.sort_by(|a, b| a.loss.total_cmp(&b.loss).then(a.id.cmp(&b.id)));
         let (mut free, mut loss, mut stopped) = (machine.free, 0.0, Vec::new());
         for victim in here {
             if job.task.fits(free) {
                 break;
             }
             free += victim.task;
-            loss += victim.loss_s;
+            loss += victim.loss;
             stopped.push(victim.id);
         }
         if job.task.fits(free)
@@ -428,13 +430,14 @@
         let mut teams = vec![team(32.0, 64.0), team(0.0, 64.0)];
         teams[1].used = room(64.0);
         let round = round(machines, teams, Vec::new());
-        let victim = |id, machine, team, loss_s| Victim {
+        let victim = |id, machine, team, loss| Victim {
             id,
             machine,
             team,
             priority: 1,
             task: room(16.0),
-            loss_s,
+            loss,
+            saves: false,
         };
         let victims = [victim(1, 0, 1, 9.0), victim(2, 1, 1, 3.0), victim(3, 1, 0, 1.0)];
         // Same priority: only what team 1 borrowed, and the least loss of it.
