Administration API, metrics and command line

Settings are typed, ranged and versioned in the state service; machines can be drained; status and metrics on every node.

--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -1,6 +1,6 @@
 //! Answers to users: how a request is read and what each outcome looks like.
 
-use crate::world::World;
+use crate::{admin::AdminRoute, world::World};
 use gladekeel_sched::Room;
 use gladekeel_wire::{
     JobId,
@@ -16,15 +16,17 @@
     pub status: u16,
     /// Seconds after which to come back.
     pub retry_after: Option<u32>,
-    /// JSON body.
+    /// The body: JSON, but for metrics.
     pub body: Vec<u8>,
+    /// Whether the body is plain text.
+    pub plain: bool,
 }
 
 impl Reply {
     /// A JSON body.
     pub fn json<T: Serialize>(status: u16, body: &T) -> Reply {
         let body = serde_json::to_vec(body).expect("wire types always serialise");
-        Reply { status, retry_after: None, body }
+        Reply { status, retry_after: None, body, plain: false }
     }
 
     /// An error in words.
@@ -51,6 +53,10 @@
     Checkin,
     /// Health.
     Up,
+    /// Metrics.
+    Metrics,
+    /// The administration API.
+    Admin(AdminRoute),
     /// Known path, wrong method.
     WrongMethod,
     /// Nothing.
@@ -58,12 +64,31 @@
 }
 
 impl Route {
+    /// Its name in metrics, for the routes that count.
+    pub fn name(&self) -> Option<&'static str> {
+        match self {
+            Route::Submit => Some("submit"),
+            Route::Poll(_) => Some("poll"),
+            Route::Cancel(_) => Some("cancel"),
+            Route::Checkin => Some("checkin"),
+            _ => None,
+        }
+    }
+
     /// Reads method and path.
     pub fn of(method: &str, path: &str) -> Route {
         let (route, wanted) = match path {
             "/api/jobs" => (Route::Submit, "POST"),
             "/checkin" => (Route::Checkin, "POST"),
             "/up" => (Route::Up, "GET"),
+            "/metrics" => (Route::Metrics, "GET"),
+            _ if path.starts_with("/admin/") => {
+                return match AdminRoute::of(method, &path["/admin/".len()..]) {
+                    Ok(route) => Route::Admin(route),
+                    Err(true) => Route::WrongMethod,
+                    Err(false) => Route::Unknown,
+                };
+            }
             _ => match path.strip_prefix("/api/jobs/").map(|rest| rest.split_once('/')) {
                 None => return Route::Unknown,
                 Some(Some((id, "cancel"))) => (Route::Cancel(id.parse().ok()), "POST"),
--- a/crates/gladekeel-controller/src/keys.rs
+++ b/crates/gladekeel-controller/src/keys.rs
@@ -8,6 +8,8 @@
 //! | `gk/assign/<page>` | which attempts are on which machines | the leader |
 //! | `gk/leader` | who leads; its version is the fencing token | the leader |
 //! | `gk/types` | machine types | the leader |
+//! | `gk/options` | the operators' settings | any node, for an operator |
+//! | `gk/drain/<machine>` | the machine is to be drained | any node, for an operator |
 
 use gladekeel_wire::JobId;
 use serde::{Deserialize, Serialize};
@@ -18,6 +20,10 @@
 pub const LEADER: &str = "gk/leader";
 /// Machine types.
 pub const TYPES: &str = "gk/types";
+/// The operators' settings.
+pub const OPTIONS: &str = "gk/options";
+/// Prefix of machines to drain.
+pub const DRAIN: &str = "gk/drain/";
 /// Prefix of jobs.
 pub const JOB: &str = "gk/job/";
 /// Prefix of final states.
@@ -45,6 +51,11 @@
     format!("{PROGRESS}{id}/{chunk}")
 }
 
+/// The key that says that a machine is to be drained.
+pub fn drain(machine: &str) -> String {
+    format!("{DRAIN}{machine}")
+}
+
 /// The key of a page of assignments.
 pub fn assign(page: usize) -> String {
     format!("{ASSIGN}{page}")
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -42,6 +42,8 @@
     pub pages: Vec<Page>,
     /// Chunks of progress to write, by job.
     pub progress: BTreeSet<(u32, u32)>,
+    /// Drain orders of machines that are gone, to clear away.
+    pub drains: Vec<(String, u64)>,
     /// Machine types to write.
     pub types: Option<MachineTypes>,
     progress_versions: BTreeMap<JobId, BTreeMap<u32, u64>>,
@@ -258,6 +260,11 @@
             draft.put(keys::TYPES.into(), self.commits.types_version, types);
             draft.sent.types = true;
         }
+        for (machine, version) in &self.commits.drains {
+            if draft.fits(1) {
+                draft.delete(keys::drain(machine), *version);
+            }
+        }
         for (ix, job) in self.jobs.iter().filter(|(_, j)| j.fate.is_some() && j.assigned == 0) {
             let chunks = self.commits.progress_versions.get(&job.id);
             // Progress goes first, the job last, over several transactions if need be.
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -371,6 +371,11 @@
         }
         for machine in self.know.machines.values_mut().filter(|m| m.delete.is_none() && !m.gone) {
             let quiet = now - machine.quiet_since;
+            if machine.drained && machine.attempts.is_empty() {
+                tracing::info!(machine = machine.name, "drained: returned");
+                machine.delete = Some("drained");
+                continue;
+            }
             if machine.should_report() {
                 let reached = self.know.fleet.reached_since.get(&machine.zone);
                 let reached_s = reached.map_or(-1.0, |since| now - since);
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -23,7 +23,9 @@
 use commit::Commits;
 use fleet::Fleet;
 use gladekeel_sched::{Interner, Room, place::Team};
-use gladekeel_wire::{JobId, cloud::MachineTypes, settings::Params, state::Txn};
+use gladekeel_wire::{
+    JobId, admin::MachineStatus, cloud::MachineTypes, settings::Params, state::Txn,
+};
 use model::Catalog;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -395,14 +397,38 @@
         self.on_cloud(now, call, outcome);
     }
 
-    /// Machines by name with their states, for the administration API.
-    pub fn machines(&self) -> impl Iterator<Item = &Machine> {
-        self.know.machines.values()
+    /// Takes in which machines operators want drained.
+    pub fn learn_drains(&mut self, world: &World) {
+        for machine in self.know.machines.values_mut() {
+            machine.drained = world.drains.contains_key(&machine.name);
+        }
+        let gone = |name: &&String| {
+            let ix = self.know.machine_names.get(name.as_str());
+            !ix.is_some_and(|ix| self.know.machines.contains_key(&ix))
+        };
+        // Only what this leader saw go: others may not have been heard of yet.
+        let gone = world.drains.iter().filter(|(name, _)| gone(name));
+        let gone = gone.filter(|(name, _)| self.know.fleet.is_gone(name));
+        self.commits.drains = gone.map(|(name, version)| (name.clone(), *version)).collect();
     }
 
-    /// Teams' use, in the order of the settings.
-    pub fn team_use(&self) -> &[Team] {
-        &self.teams
+    /// Machines with their states.
+    pub fn machine_status(&self, now: f64) -> Vec<MachineStatus> {
+        let name = |names: &Interner<String>, ix: Option<u32>| ix.map(|ix| names.name(ix).clone());
+        self.know
+            .machines
+            .values()
+            .filter(|machine| !machine.gone)
+            .map(|machine| MachineStatus {
+                machine: machine.name.clone(),
+                state: machine.state().into(),
+                machine_type: name(&self.catalog.kinds, machine.kind),
+                zone: name(&self.catalog.zones, machine.zone),
+                spot: machine.spot,
+                tasks: machine.attempts.len(),
+                quiet_s: machine.heard_at.map(|at| now - at),
+            })
+            .collect()
     }
 
     /// Unfinished jobs: how many, and their tasks on no machine.
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -330,6 +330,8 @@
     pub delete_sent: bool,
     /// Whether the deletion is confirmed.
     pub gone: bool,
+    /// Whether operators want it drained.
+    pub drained: bool,
     /// Failures in a row.
     pub failures: u32,
     /// Not used for new work before this time.
@@ -371,6 +373,7 @@
             delete: None,
             delete_sent: false,
             gone: false,
+            drained: false,
             failures: 0,
             hold_until: 0.0,
             idle_since: now,
@@ -388,9 +391,24 @@
         !self.gone && (self.heard_at.is_some() || !self.attempts.is_empty())
     }
 
+    /// Its state in a word.
+    pub fn state(&self) -> &'static str {
+        match self {
+            Machine { drained: true, delete: None, .. } => "draining",
+            machine if machine.leaving() => "leaving",
+            Machine { heard_at: None, .. } => "booting",
+            Machine { attempts, .. } if attempts.is_empty() => "idle",
+            _ => "working",
+        }
+    }
+
     /// Whether it is on its way out.
     pub fn leaving(&self) -> bool {
-        self.delete.is_some() || self.delete_sent || self.gone || self.leaves_at.is_some()
+        self.delete.is_some()
+            || self.delete_sent
+            || self.gone
+            || self.drained
+            || self.leaves_at.is_some()
     }
 
     /// Notes that an image was used, and drops the oldest ones over the cache's size.
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -263,7 +263,7 @@
                         // one that cannot save runs on, since it may yet complete.
                         if job.spec.checkpoint_s > 0.0
                             && attempt.seen.is_some()
-                            && machine.leaves_at.is_some()
+                            && (machine.leaves_at.is_some() || machine.drained)
                         {
                             attempt.stop = Some(StopWhy::Drained);
                             self.direct_wanted.insert(attempt.machine);
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod shell;
 pub mod world;
 
+mod admin;
 mod api;
 mod checkin;
 mod election;
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -1,6 +1,7 @@
 //! A controller node without I/O.
 
 use crate::{
+    admin::Latencies,
     api::{self, Route, Verdict},
     checkin::{Answer, Desk, Standing},
     cloud::{CloudCall, CloudOutcome},
@@ -21,7 +22,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     rc::Rc,
 };
 use zerocopy::{FromBytes, IntoBytes};
@@ -155,13 +156,14 @@
     Sync,
     Load,
     Users(Vec<UserWrite>),
+    Admin(RequestId, Reply),
     Lead(u64),
     Election,
 }
 
 /// A change that a user asked for.
 #[derive(Debug)]
-struct UserWrite {
+pub(crate) struct UserWrite {
     request: RequestId,
     id: JobId,
     /// The job to create, or none to cancel.
@@ -172,7 +174,7 @@
 
 /// A request that waits for the store to be read.
 #[derive(Debug)]
-struct Waiter {
+pub(crate) struct Waiter {
     request: RequestId,
     id: JobId,
     since: f64,
@@ -196,33 +198,33 @@
 
 /// A controller node.
 pub struct Node {
-    settings: Rc<Settings>,
-    params: Rc<Params>,
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) params: Rc<Params>,
     record: LeaderRecord,
     place: u32,
-    peers: Vec<PeerView>,
+    pub(crate) peers: Vec<PeerView>,
     rng: StdRng,
-    options: Options,
-    replica: Replica,
-    world: World,
+    pub(crate) options: Options,
+    pub(crate) replica: Replica,
+    pub(crate) world: World,
     calls: BTreeMap<CallId, (Purpose, Call, f64)>,
     cloud_calls: BTreeMap<CallId, (u64, CloudCall)>,
     direct_calls: BTreeMap<CallId, DirectCall>,
     next_call: CallId,
     /// When the last answered reading of the store was sent.
-    contact: Option<f64>,
+    pub(crate) contact: Option<f64>,
     state_down: bool,
     sync_flying: bool,
-    sync_wanted: bool,
+    pub(crate) sync_wanted: bool,
     sync_sent: f64,
     sync_not_before: f64,
-    riding: Vec<Waiter>,
-    waiting: Vec<Waiter>,
-    writes: VecDeque<UserWrite>,
+    pub(crate) riding: Vec<Waiter>,
+    pub(crate) waiting: Vec<Waiter>,
+    pub(crate) writes: VecDeque<UserWrite>,
     writes_flying: bool,
     writes_not_before: f64,
     election: Election,
-    leader: Option<Leader>,
+    pub(crate) leader: Option<Leader>,
     desk: Desk,
     /// Reports passed on to the leader, with what to answer if it does not.
     relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
@@ -232,16 +234,21 @@
     cloud: Bucket,
     resigned: u32,
     hello_at: f64,
+    /// Requests under way that are timed.
+    open: HashMap<RequestId, (&'static str, f64)>,
+    pub(crate) latencies: Latencies,
+    pub(crate) state_requests: u64,
+    pub(crate) state_writes: u64,
     actions: Vec<Action>,
-    reign: u64,
+    pub(crate) reign: u64,
 }
 
 /// What a node knows of another.
 #[derive(Debug, Clone, Default)]
-struct PeerView {
-    name: String,
-    heard_at: Option<f64>,
-    contact_ms: u32,
+pub(crate) struct PeerView {
+    pub(crate) name: String,
+    pub(crate) heard_at: Option<f64>,
+    pub(crate) contact_ms: u32,
     hears: u32,
 }
 
@@ -299,6 +306,10 @@
             cloud: Bucket::new(params.cloud.rps * 0.8, (params.cloud.rps * 0.8).max(1.0)),
             resigned: 0,
             hello_at: 0.0,
+            open: HashMap::new(),
+            latencies: Latencies::default(),
+            state_requests: 0,
+            state_writes: 0,
             actions: Vec::new(),
             reign: 0,
             settings,
@@ -344,17 +355,30 @@
 
     // ---- requests -------------------------------------------------------
 
-    fn reply(&mut self, id: RequestId, reply: Reply) {
+    pub(crate) fn reply(&mut self, now: f64, id: RequestId, reply: Reply) {
+        if let Some((what, since)) = self.open.remove(&id) {
+            self.latencies.note(what, now - since);
+        }
         self.actions.push(Action::Reply { id, reply });
     }
 
     fn on_http(&mut self, now: f64, id: RequestId, method: &str, path: &str, body: &[u8]) {
-        match Route::of(method, path) {
+        let route = Route::of(method, path);
+        if let Some(what) = route.name() {
+            self.open.insert(id, (what, now));
+        }
+        match route {
+            Route::Metrics => {
+                let body = self.metrics(now).into_bytes();
+                let reply = Reply { status: 200, retry_after: None, body, plain: true };
+                self.reply(now, id, reply);
+            }
+            Route::Admin(route) => self.on_admin(now, id, route, body),
             Route::Submit => self.on_submit(now, id, body),
             Route::Poll(Some(job)) => self.on_poll(now, id, job),
             Route::Cancel(Some(job)) => self.on_cancel(now, id, job),
             Route::Poll(None) | Route::Cancel(None) => {
-                self.reply(id, Reply::error(404, "no such job"));
+                self.reply(now, id, Reply::error(404, "no such job"));
             }
             Route::Checkin => self.on_checkin(now, id, body),
             Route::Up => {
@@ -363,10 +387,10 @@
                 } else {
                     Reply::later(503, 1, "no contact with the state service")
                 };
-                self.reply(id, reply);
+                self.reply(now, id, reply);
             }
-            Route::WrongMethod => self.reply(id, Reply::error(405, "method not allowed")),
-            Route::Unknown => self.reply(id, Reply::error(404, "no such path")),
+            Route::WrongMethod => self.reply(now, id, Reply::error(405, "method not allowed")),
+            Route::Unknown => self.reply(now, id, Reply::error(404, "no such path")),
         }
     }
 
@@ -386,17 +410,26 @@
         !better
     }
 
-    fn later(&mut self, id: RequestId, what: &str) {
-        self.reply(id, Reply::later(503, 1, what));
+    /// Makes a change for an operator, who is answered once it is made or not.
+    pub(crate) fn admin_write(&mut self, now: f64, id: RequestId, txn: Txn, reply: Reply) {
+        if self.overloaded(now, id) {
+            return;
+        }
+        self.own_writes.take(now, 1.0);
+        self.call_state(now, Purpose::Admin(id, reply), Call::Commit(txn));
     }
 
-    fn overloaded(&mut self, id: RequestId) -> bool {
+    fn later(&mut self, now: f64, id: RequestId, what: &str) {
+        self.reply(now, id, Reply::later(503, 1, what));
+    }
+
+    fn overloaded(&mut self, now: f64, id: RequestId) -> bool {
         let over = self.waiting.len() + self.riding.len() + self.writes.len() >= MAX_WAITING;
         if over {
-            self.reply(id, Reply::later(503, 2, "too many requests are waiting"));
+            self.reply(now, id, Reply::later(503, 2, "too many requests are waiting"));
         } else if self.state_down || self.replica.revision().is_none() {
             // Known to be out of reach: said at once, rather than after a wait.
-            self.later(id, "the state service cannot be reached");
+            self.later(now, id, "the state service cannot be reached");
             return true;
         }
         over
@@ -409,8 +442,8 @@
 
     fn on_poll(&mut self, now: f64, request: RequestId, id: JobId) {
         if let Some(status) = self.final_status(&id) {
-            self.reply(request, Reply::json(200, &status));
-        } else if !self.overloaded(request) {
+            self.reply(now, request, Reply::json(200, &status));
+        } else if !self.overloaded(now, request) {
             self.wait(now, request, id, Then::Poll);
         }
     }
@@ -424,13 +457,13 @@
     fn on_submit(&mut self, now: f64, request: RequestId, body: &[u8]) {
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
-            Err(error) => return self.reply(request, Reply::error(400, error.to_string())),
+            Err(error) => return self.reply(now, request, Reply::error(400, error.to_string())),
         };
         let id = spec.id.clone();
         if let Some(status) = self.final_status(&id) {
-            return self.reply(request, Reply::json(200, &status));
+            return self.reply(now, request, Reply::json(200, &status));
         }
-        if self.overloaded(request) {
+        if self.overloaded(now, request) {
             return;
         }
         if self.world.jobs.contains_key(&id) {
@@ -439,7 +472,7 @@
         match api::judge(&self.params, &self.world, &spec) {
             // A job that was accepted once is never refused later, so look first.
             Verdict::Never(why) => self.wait(now, request, id, Then::Refuse(why)),
-            Verdict::Unknown => self.later(request, "machine types are not known yet"),
+            Verdict::Unknown => self.later(now, request, "machine types are not known yet"),
             Verdict::Fine => {
                 let spec = Some(Rc::new(spec));
                 self.writes.push_back(UserWrite { request, id, spec, since: now, tries: 0 });
@@ -449,9 +482,9 @@
 
     fn on_cancel(&mut self, now: f64, request: RequestId, id: JobId) {
         if let Some(status) = self.final_status(&id) {
-            return self.reply(request, Reply::json(200, &status));
+            return self.reply(now, request, Reply::json(200, &status));
         }
-        if self.overloaded(request) {
+        if self.overloaded(now, request) {
             return;
         }
         if self.world.jobs.contains_key(&id) {
@@ -470,18 +503,20 @@
                 (Then::Cancel { tries }, _) if open && tries < 3 => {
                     self.writes.push_back(UserWrite { request, id, spec: None, since, tries });
                 }
-                (Then::Cancel { .. }, Some(_)) if open => self.later(request, "not cancelled yet"),
-                (_, Some(status)) => self.reply(request, Reply::json(200, &status)),
+                (Then::Cancel { .. }, Some(_)) if open => {
+                    self.later(now, request, "not cancelled yet")
+                }
+                (_, Some(status)) => self.reply(now, request, Reply::json(200, &status)),
                 (Then::Create { spec, tries }, None) if tries < 3 && now - since < WAIT_S => {
                     let spec = Some(spec);
                     self.writes.push_back(UserWrite { request, id, spec, since, tries });
                 }
                 (Then::Create { .. } | Then::Unknown, None) => {
-                    self.later(request, "not accepted yet");
+                    self.later(now, request, "not accepted yet");
                 }
-                (Then::Refuse(why), None) => self.reply(request, Reply::error(422, why)),
+                (Then::Refuse(why), None) => self.reply(now, request, Reply::error(422, why)),
                 (Then::Poll | Then::Cancel { .. }, None) => {
-                    self.reply(request, Reply::error(404, "no such job"));
+                    self.reply(now, request, Reply::error(404, "no such job"));
                 }
             }
         }
@@ -497,7 +532,7 @@
                         None => (200, JobState::Cancelled),
                     };
                     let answer = JobStatus { id: write.id, state, done: None, running: None };
-                    self.reply(write.request, Reply::json(status, &answer));
+                    self.reply(now, write.request, Reply::json(status, &answer));
                 }
                 self.sync_wanted |= self.leader.is_some();
                 self.nudge();
@@ -532,7 +567,7 @@
             }
             Outcome::Refused | Outcome::NoLease => {
                 for write in writes {
-                    self.later(write.request, "the state service refuses");
+                    self.later(now, write.request, "the state service refuses");
                 }
             }
             _ => {
@@ -557,7 +592,7 @@
     fn on_checkin(&mut self, now: f64, id: RequestId, body: &[u8]) {
         let report: Report = match serde_json::from_slice(body) {
             Ok(report) => report,
-            Err(error) => return self.reply(id, Reply::error(400, error.to_string())),
+            Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
         };
         let elsewhere = self
             .world
@@ -591,7 +626,7 @@
             Answer::Elsewhere(redirect) => Reply::json(421, &redirect),
             Answer::NotEntitled => Reply::later(503, 1, "not entitled to act"),
         };
-        self.reply(id, reply);
+        self.reply(now, id, reply);
     }
 
     // ---- the state service ----------------------------------------------
@@ -599,6 +634,8 @@
     fn call_state(&mut self, now: f64, purpose: Purpose, request: Call) {
         let call = self.next_call;
         self.next_call += 1;
+        self.state_requests += 1;
+        self.state_writes += request.writes() as u64;
         self.calls.insert(call, (purpose, request.clone(), now));
         self.actions.push(Action::State { call, request, limit_s: STATE_S });
     }
@@ -607,6 +644,7 @@
         let Some((purpose, request, sent_at)) = self.calls.remove(&call) else { return };
         match purpose {
             Purpose::Sync | Purpose::Load => self.on_read(now, sent_at, outcome),
+            Purpose::Admin(id, reply) => self.admin_written(now, id, reply, &outcome),
             Purpose::Users(writes) => self.users_written(now, writes, outcome),
             Purpose::Lead(token) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token)
@@ -654,10 +692,10 @@
                 self.sync_not_before = now + 0.25;
                 let waiters = std::mem::take(&mut self.riding);
                 for waiter in waiters.into_iter().chain(std::mem::take(&mut self.waiting)) {
-                    self.later(waiter.request, "the state service cannot be reached");
+                    self.later(now, waiter.request, "the state service cannot be reached");
                 }
                 for write in std::mem::take(&mut self.writes) {
-                    self.later(write.request, "the state service cannot be reached");
+                    self.later(now, write.request, "the state service cannot be reached");
                 }
             }
         }
@@ -686,7 +724,17 @@
                         leader.learn_fate(&self.world, &id);
                     }
                 }
-                Topic::Leader | Topic::Other => {}
+                Topic::Options => {
+                    // What a later version stored and this one does not know is left out.
+                    let known = Options::default().values();
+                    let stored = self.world.options.iter();
+                    let stored = stored
+                        .filter(|(name, _)| known.contains_key(*name))
+                        .map(|(name, value)| (name.clone(), *value))
+                        .collect();
+                    self.options = Options::default().with(&stored).unwrap_or_default();
+                }
+                Topic::Other => {}
             }
         }
     }
@@ -788,7 +836,11 @@
             Kind::Relayed => {
                 if let Some((id, ..)) = self.relays.remove(&header.call.get()) {
                     let status = header.status.get();
-                    self.reply(id, Reply { status, retry_after: None, body: payload.to_vec() });
+                    self.reply(
+                        now,
+                        id,
+                        Reply { status, retry_after: None, body: payload.to_vec(), plain: false },
+                    );
                 }
             }
         }
@@ -802,11 +854,11 @@
             std::mem::take(&mut self.waiting).into_iter().partition(late);
         self.waiting = waiting;
         for waiter in gone {
-            self.later(waiter.request, "the state service is slow");
+            self.later(now, waiter.request, "the state service is slow");
         }
         while self.writes.front().is_some_and(|write| now - write.since >= WAIT_S) {
             if let Some(write) = self.writes.pop_front() {
-                self.later(write.request, "the state service is slow");
+                self.later(now, write.request, "the state service is slow");
             }
         }
         while let Some((call, (id, since, answer))) = self.relays.pop_first() {
@@ -819,7 +871,7 @@
             } else {
                 Reply::later(503, 1, "not entitled to act")
             };
-            self.reply(id, reply);
+            self.reply(now, id, reply);
         }
         if let Some(leader) = &mut self.leader {
             let heard = self
@@ -829,6 +881,7 @@
                 .filter(|(_, peer)| peer.heard_at.is_some_and(|at| now - at < HELLO_S));
             let zones: Vec<&str> =
                 heard.map(|(at, _)| self.settings.peers[at].zone.as_str()).collect();
+            leader.learn_drains(&self.world);
             leader.tick(now, &self.options, &self.settings.zone, &zones);
             self.resign_if_deaf(now);
         }
--- a/crates/gladekeel-controller/src/options.rs
+++ b/crates/gladekeel-controller/src/options.rs
@@ -1,6 +1,7 @@
 //! What operators may change while the service runs, and what is open to measurement.
 
 use gladekeel_sched::{fleet::Sizing, share::Hopper};
+use std::collections::BTreeMap;
 
 /// The options in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,3 +38,72 @@
         }
     }
 }
+
+/// An option's name, range and place.
+struct Field {
+    name: &'static str,
+    least: f64,
+    most: f64,
+    place: fn(&mut Options) -> &mut f64,
+}
+
+const FIELDS: &[Field] = &[
+    Field { name: "beta", least: 1.01, most: 2.0, place: |o| &mut o.hopper.beta },
+    Field { name: "epsilon", least: 0.0, most: 1.0, place: |o| &mut o.hopper.epsilon },
+    Field { name: "round_s", least: 0.2, most: 30.0, place: |o| &mut o.round_s },
+    Field { name: "restart_multiple", least: 1.5, most: 100.0, place: |o| &mut o.restart_multiple },
+    Field { name: "idle_s", least: 0.0, most: 3600.0, place: |o| &mut o.idle_s },
+    Field { name: "silent_s", least: 5.0, most: 600.0, place: |o| &mut o.silent_s },
+    Field { name: "preempt_after_s", least: 0.0, most: 3600.0, place: |o| &mut o.preempt_after_s },
+    Field {
+        name: "preempt_saving_after_s",
+        least: 0.0,
+        most: 3600.0,
+        place: |o| &mut o.preempt_saving_after_s,
+    },
+    Field { name: "fleet_memory_s", least: 1.0, most: 86400.0, place: |o| &mut o.sizing.memory_s },
+    Field { name: "fleet_keep", least: 0.0, most: 3.0, place: |o| &mut o.sizing.keep },
+    Field { name: "fleet_fill", least: 0.05, most: 1.0, place: |o| &mut o.sizing.fill },
+];
+
+impl Options {
+    /// Every option by name.
+    pub fn values(&self) -> BTreeMap<String, f64> {
+        let mut copy = self.clone();
+        FIELDS.iter().map(|field| (field.name.to_owned(), *(field.place)(&mut copy))).collect()
+    }
+
+    /// The options with some changed; all or none, and the error names the field
+    /// and what it allows.
+    pub fn with(&self, values: &BTreeMap<String, f64>) -> Result<Options, String> {
+        let mut new = self.clone();
+        for (name, value) in values {
+            let Some(field) = FIELDS.iter().find(|field| field.name == name) else {
+                let known: Vec<&str> = FIELDS.iter().map(|field| field.name).collect();
+                return Err(format!("{name}: no such setting; there are {}", known.join(", ")));
+            };
+            let (least, most) = (field.least, field.most);
+            if !value.is_finite() || !(least..=most).contains(value) {
+                return Err(format!("{name}: must be a number from {least} to {most}"));
+            }
+            *(field.place)(&mut new) = *value;
+        }
+        Ok(new)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn values_read_back_and_ranges_hold() {
+        let options = Options::default();
+        assert_eq!(options.with(&options.values()), Ok(options.clone()), "defaults are in range");
+        let change = |name: &str, value| options.with(&BTreeMap::from([(name.to_owned(), value)]));
+        assert_eq!(change("beta", 1.5).unwrap().hopper.beta, 1.5);
+        assert_eq!(change("beta", 2.5).unwrap_err(), "beta: must be a number from 1.01 to 2");
+        assert!(change("beta", f64::NAN).is_err());
+        assert!(change("gamma", 1.0).unwrap_err().starts_with("gamma: no such setting"));
+    }
+}
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -190,6 +190,7 @@
             body: request.body.to_vec(),
         });
         match receiver.await {
+            Ok(reply) if reply.plain => Response::text(reply.status, reply.body),
             Ok(reply) => Response {
                 retry_after: reply.retry_after,
                 ..Response::json(reply.status, reply.body)
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -40,6 +40,12 @@
     pub token: u64,
     /// Machine types, with the key's version.
     pub types: Option<(Rc<MachineTypes>, u64)>,
+    /// The operators' settings.
+    pub options: BTreeMap<String, f64>,
+    /// Version of their key.
+    pub options_version: u64,
+    /// Machines to drain, with versions.
+    pub drains: BTreeMap<String, u64>,
     running: HashMap<JobId, u32>,
 }
 
@@ -50,8 +56,8 @@
     Job(JobId),
     /// A final state.
     Fate(JobId),
-    /// Who leads.
-    Leader,
+    /// The operators' settings.
+    Options,
     /// Anything else.
     Other,
 }
@@ -120,13 +126,24 @@
                 .as_ref()
                 .and_then(|(value, version)| Some((read(key, value)?, *version)));
             self.token = self.token.max(self.leader.as_ref().map_or(0, |(_, token)| *token));
-            return Topic::Leader;
         } else if key == keys::TYPES {
             self.types = change
                 .now
                 .as_ref()
                 .and_then(|(value, version)| Some((Rc::new(read(key, value)?), *version)));
         }
+        if key == keys::OPTIONS {
+            let now = change.now.as_ref();
+            self.options = now.and_then(|(value, _)| read(key, value)).unwrap_or_default();
+            self.options_version = now.map_or(0, |(_, version)| *version);
+            return Topic::Options;
+        }
+        if let Some(machine) = key.strip_prefix(keys::DRAIN) {
+            match &change.now {
+                Some((_, version)) => self.drains.insert(machine.to_owned(), *version),
+                None => self.drains.remove(machine),
+            };
+        }
         Topic::Other
     }
 
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -253,6 +253,24 @@
             let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
             Box::new(move |sim| ids.into_iter().for_each(|id| sim.cancel(id)))
         }
+        "http" => {
+            let (request, status) =
+                text.rsplit_once(" = ").ok_or("http METHOD PATH BODY = STATUS")?;
+            let mut parts = request.splitn(4, ' ').skip(1);
+            let method = match parts.next() {
+                Some("GET") => "GET",
+                Some("PUT") => "PUT",
+                Some("POST") => "POST",
+                other => return Err(format!("no method {other:?}")),
+            };
+            let path = parts.next().ok_or("a path is missing")?.to_owned();
+            let body = parts.next().unwrap_or("").to_owned();
+            let status = number(status)? as u16;
+            Box::new(move |sim| {
+                let node = sim.leading().unwrap_or(0);
+                sim.expect_http(node, method, path, body.into_bytes(), status);
+            })
+        }
         "junk" => Box::new(move |sim| (0..sim.nodes()).for_each(|node| sim.send_junk(node))),
         "crash" => {
             let who = at(1)?.to_owned();
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -772,6 +772,25 @@
         }
     }
 
+    /// Sends a request to a node, whose answer must have this status.
+    pub fn expect_http(
+        &mut self,
+        node: usize,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        status: u16,
+    ) {
+        let what = format!("{method} {path}");
+        self.request(End::Users, node, (method, path, body), 5.0, move |sim, reply| {
+            let got = reply.as_ref().map_or(0, |reply| reply.status);
+            if got != status {
+                let body = reply.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
+                sim.rules.broken.push(("http", format!("{what}: {got} {body:?}, not {status}")));
+            }
+        });
+    }
+
     /// The number of nodes.
     pub fn nodes(&self) -> usize {
         self.nodes.len()
--- a/crates/gladekeel-wire/src/lib.rs
+++ b/crates/gladekeel-wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! the platform's protocol appear only as serde renames in this crate; the rest
 //! of the code uses the words of the field (task, attempt, lease, zone, spot).
 
+pub mod admin;
 pub mod cloud;
 pub mod id;
 pub mod job;
--- a/crates/gladekeel/src/main.rs
+++ b/crates/gladekeel/src/main.rs
@@ -1,6 +1,9 @@
-//! The gladekeel program.
+//! The gladekeel program: a controller node, and the commands that talk to one.
+
+mod client;
 
 use clap::{Args, Parser, Subcommand};
+use client::Failure;
 use gladekeel_wire::settings::Settings;
 use std::{
     path::{Path, PathBuf},
@@ -9,10 +12,12 @@
 
 /// A cluster scheduler: runs users' jobs on machines rented from a cloud.
 #[derive(Parser)]
-#[command(version, about, args_conflicts_with_subcommands = true)]
+#[command(version, about)]
 struct Cli {
     #[command(flatten)]
     run: ConfigArg,
+    #[command(flatten)]
+    server: client::Server,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -32,23 +37,49 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Show who leads, and how nodes, teams and machines are.
+    Status,
+    /// List the machines; ask the leader.
+    Machines,
+    /// Submit, show and cancel jobs.
+    #[command(subcommand)]
+    Jobs(client::Jobs),
+    /// Show and change the operators' settings.
+    #[command(subcommand)]
+    Settings(client::Settings),
+    /// Give a machine no more work and return it once it is empty.
+    Drain {
+        /// The machine.
+        machine: String,
+    },
+    /// Take back a `drain`.
+    Undrain {
+        /// The machine.
+        machine: String,
+    },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let result = match (cli.command, cli.run.config) {
-        (Some(Command::Check { config }), _) => {
-            load(&config).map(|_| println!("settings are fine"))
+    let server = &cli.server;
+    let result = match cli.command {
+        Some(Command::Check { config }) => {
+            load(&config).map(|_| println!("settings are fine")).map_err(Failure::new)
         }
-        (None, Some(config)) => load(&config).and_then(serve),
-        (None, None) => Err("no settings file: use --config FILE, or --help".into()),
+        Some(Command::Status) => client::status(server),
+        Some(Command::Machines) => client::machines(server),
+        Some(Command::Jobs(command)) => client::jobs(server, &command),
+        Some(Command::Settings(command)) => client::settings(server, &command),
+        Some(Command::Drain { machine }) => client::drain(server, &machine, true),
+        Some(Command::Undrain { machine }) => client::drain(server, &machine, false),
+        None => match cli.run.config {
+            Some(config) => load(&config).and_then(serve).map_err(Failure::new),
+            None => Err(Failure::new("no settings file: use --config FILE, or --help")),
+        },
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("gladekeel: {message}");
-            ExitCode::FAILURE
-        }
+        Err(failure) => failure.report(),
     }
 }
 
@@ -59,8 +90,8 @@
     let settings: Settings = toml::from_str(&text).map_err(|error| {
         let line = error.span().map(|span| text[..span.start].matches('\n').count() + 1);
         let at = line.map(|line| format!(":{line}")).unwrap_or_default();
-        let snippet = line.and_then(|line| text.lines().nth(line - 1)).unwrap_or("").trim();
-        let near = if snippet.is_empty() { String::new() } else { format!(" (at `{snippet}`)") };
+        let source = line.and_then(|line| text.lines().nth(line - 1)).unwrap_or("").trim();
+        let near = if source.is_empty() { String::new() } else { format!(" (at `{source}`)") };
         format!("{name}{at}: {}{near}", error.message())
     })?;
     settings.check().map_err(|error| format!("{name}: {error}"))?;
