Run gangs and services

Changed: a gang is placed whole or not at all, goes first after a minute, and starts again whole when it loses a task; its tasks share one attempt number, without which workers let them end as incomplete. A service runs until it is cancelled.

--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -4,7 +4,7 @@
 use gladekeel_sched::Room;
 use gladekeel_wire::{
     JobId,
-    job::{ErrorBody, JobSpec, JobState, JobStatus},
+    job::{ErrorBody, JobSpec, JobState, JobStatus, Kind},
     settings::Params,
 };
 use serde::Serialize;
@@ -127,8 +127,10 @@
     let Some(team) = params.teams.iter().find(|team| team.name == spec.team) else {
         return Verdict::Never(format!("no team {:?}", spec.team));
     };
-    if spec.cpus > team.cpus_max || spec.gpus > team.gpus_max {
-        return Verdict::Never("a task needs more than the team's limit".into());
+    // Tasks of an array can run one after the other; a gang or a service needs all.
+    let at_once = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
+    if spec.cpus * at_once > team.cpus_max || spec.gpus * at_once > team.gpus_max {
+        return Verdict::Never("the job needs more than the team's limit".into());
     }
     let Some((types, _)) = &world.types else { return Verdict::Unknown };
     let task = Room::taken(spec.cpus, spec.gpus, spec.memory_gb);
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -9,6 +9,7 @@
     TaskId,
     worker::{Command, Direct, Report, TaskState},
 };
+use std::collections::BTreeMap;
 
 /// Time after which an unanswered `run` is settled by a new token.
 const LOOSE_S: f64 = 15.0;
@@ -56,6 +57,12 @@
     }
 
     fn direct_for(&mut self, now: f64, ix: u32, may_start: bool) -> Option<DirectCall> {
+        let ids = self.know.machines.get(&ix)?.attempts.clone();
+        let numbers: BTreeMap<u64, u64> = ids
+            .into_iter()
+            .filter(|id| self.attempts.contains_key(id))
+            .map(|id| (id, self.number(id)))
+            .collect();
         let machine = self.know.machines.get_mut(&ix)?;
         let addr = machine.addr.clone()?;
         // A worker that has not seen this token yet reports soon anyway, and a
@@ -69,7 +76,7 @@
         }
         let may_start = may_start && !self.fence && !machine.leaving();
         let (mut commands, mut starts) = (Vec::new(), Vec::new());
-        for id in &machine.attempts {
+        for (id, number) in &numbers {
             let Some(attempt) = self.attempts.get_mut(id) else { continue };
             if attempt.phase != Phase::Live || attempt.session != machine.newest.0 {
                 continue;
@@ -81,13 +88,13 @@
                 if there && attempt.stop_sent == 0 {
                     attempt.stop_sent = 1;
                     let grace_s = self.jobs[&attempt.job].grace(why);
-                    commands.push(Command::Stop { task, attempt: *id, grace_s });
+                    commands.push(Command::Stop { task, attempt: *number, grace_s });
                 }
             } else if attempt.seen.is_none() && may_start && !attempt.sent {
                 attempt.sent = true;
                 machine.open_starts.insert(*id, None);
                 starts.push(*id);
-                commands.push(Command::Start { task, attempt: *id });
+                commands.push(Command::Start { task, attempt: *number });
             }
         }
         if commands.is_empty() {
@@ -120,13 +127,14 @@
         // What is there says something; what is absent does not, since answers to
         // reports may still be under way.
         for reported in &report.tasks {
-            let known = self.attempts.get(&reported.attempt).is_some_and(|attempt| {
+            let id = self.attempt_of(reported);
+            let known = self.attempts.get(&id).is_some_and(|attempt| {
                 attempt.machine == call.machine
                     && attempt.index == reported.task.index
                     && self.job_names.name(attempt.job) == &reported.task.job
             });
             if known {
-                self.on_reported(now, reported.attempt, reported);
+                self.on_reported(now, id, reported);
             }
         }
         self.direct_wanted.insert(call.machine);
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -24,7 +24,13 @@
 use fleet::Fleet;
 use gladekeel_sched::{Interner, Room, place::Team};
 use gladekeel_wire::{
-    JobId, admin::MachineStatus, cloud::MachineTypes, settings::Params, state::Txn,
+    JobId,
+    admin::MachineStatus,
+    cloud::MachineTypes,
+    job::{Kind, MAX_TASKS},
+    settings::Params,
+    state::Txn,
+    worker::TaskReport,
 };
 use model::Catalog;
 use std::{
@@ -34,7 +40,7 @@
 
 /// Attempts that one token can name; the number of an attempt is the token
 /// times this plus a counter, so that no two leaders ever name the same.
-const ATTEMPTS_PER_TOKEN: u64 = 1 << 20;
+const ATTEMPTS_PER_TOKEN: u64 = 1 << 24;
 
 /// What a leader counts.
 #[derive(Debug, Default, Clone, PartialEq)]
@@ -316,6 +322,17 @@
         if let Some(page) = self.know.machines.get(&attempt.machine).and_then(|m| m.page) {
             self.commits.dirty_page(page);
         }
+        let job_ix = attempt.job;
+        if outcome != model::Outcome::Done
+            && self.jobs.get(&job_ix).is_some_and(|job| job.spec.kind == Kind::Gang)
+        {
+            // A gang runs whole: the others stop and start again together.
+            for other in self.attempts.values_mut().filter(|other| other.job == job_ix) {
+                other.stop.get_or_insert(StopWhy::Regroup);
+                self.direct_wanted.insert(other.machine);
+            }
+        }
+        let Some(attempt) = self.attempts.get(&id) else { return };
         if outcome == model::Outcome::Done
             && let Some(job) = self.jobs.get_mut(&attempt.job)
             && job.done.add(attempt.index)
@@ -347,9 +364,29 @@
         self.round_wanted = true;
     }
 
+    /// The number under which a worker knows an attempt. The tasks of a gang share
+    /// one: that is how they find one another.
+    fn number(&self, id: u64) -> u64 {
+        let attempt = &self.attempts[&id];
+        let gang = self.jobs.get(&attempt.job).is_some_and(|job| job.spec.kind == Kind::Gang);
+        if gang { id - u64::from(attempt.index) } else { id }
+    }
+
+    /// The attempt that a worker speaks of.
+    fn attempt_of(&self, reported: &TaskReport) -> u64 {
+        let job = self.job_names.get(&reported.task.job).and_then(|ix| self.jobs.get(&ix));
+        match job {
+            Some(job) if job.spec.kind == Kind::Gang => {
+                reported.attempt.saturating_add(u64::from(reported.task.index))
+            }
+            _ => reported.attempt,
+        }
+    }
+
     /// Whether the leader wants a new token before it goes on: a commit had no answer.
     pub fn wants_fence(&self) -> bool {
-        self.fence || self.next_attempt + 1000 > (self.token + 1) * ATTEMPTS_PER_TOKEN
+        self.fence
+            || self.next_attempt + 2 * u64::from(MAX_TASKS) > (self.token + 1) * ATTEMPTS_PER_TOKEN
     }
 
     /// Machines that reported within the last `within_s`, and machines that should report.
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -5,7 +5,7 @@
 use gladekeel_wire::{
     JobId,
     cloud::{MachineState, MachineType, MachineTypes},
-    job::{JobSpec, JobState},
+    job::{JobSpec, JobState, Kind},
     settings::Params,
     worker::TaskState,
 };
@@ -105,6 +105,8 @@
     Slow,
     /// The machine is going away.
     Drained,
+    /// Another task of its gang is gone.
+    Regroup,
 }
 
 /// A task on a machine.
@@ -269,6 +271,10 @@
     /// How long after its submission the job should be complete: its deadline, the
     /// users' aim for its class, or else a few times what it runs.
     pub fn due_s(&self, params: &Params, run_s: f64) -> f64 {
+        if self.spec.kind != Kind::Array {
+            // All of its tasks are wanted at once.
+            return 0.0;
+        }
         let aims = params
             .objectives
             .iter()
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,8 +1,8 @@
 //! Workers' reports and the commands that answer them.
 
 use super::{Leader, Machine, Phase, StopWhy, model::Outcome};
-use gladekeel_wire::TaskId;
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
+use gladekeel_wire::{TaskId, job::Kind};
 use std::collections::BTreeMap;
 
 /// Commands in one answer; a line must stay below 64 KiB.
@@ -52,8 +52,9 @@
         let settled = report.token == self.token;
 
         let mut reported: BTreeMap<u64, &TaskReport> =
-            report.tasks.iter().map(|task| (task.attempt, task)).collect();
-        for id in machine.attempts.clone() {
+            report.tasks.iter().map(|task| (self.attempt_of(task), task)).collect();
+        let here = self.know.machines.get(&ix).map(|m| m.attempts.clone()).unwrap_or_default();
+        for id in here {
             let Some(attempt) = self.attempts.get(&id) else { continue };
             if attempt.session < report.session {
                 // A newer session: the worker has killed and forgotten everything before it.
@@ -107,7 +108,7 @@
                 && attempt.stop.is_none()
                 && self.know.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
             if starting {
-                commands.push(Command::Start { task, attempt: id });
+                commands.push(Command::Start { task, attempt: self.number(id) });
             } else if settled
                 && !self.know.machines.get(&attempt.machine).is_some_and(|m| m.may_still_start(id))
                 && (attempt.stop.is_some() || !may_start_ever(self, id))
@@ -127,7 +128,7 @@
         }
         attempt.stop_sent += 1;
         let grace_s = self.jobs[&attempt.job].grace(why);
-        commands.push(Command::Stop { task, attempt: id, grace_s });
+        commands.push(Command::Stop { task, attempt: self.number(id), grace_s });
     }
 
     /// Takes in a task's state; tells whether the task has ended.
@@ -160,13 +161,13 @@
         if self.attempts.contains_key(&attempt) || !settled {
             return;
         }
-        let task_id = task.task.clone();
+        let (task_id, number) = (task.task.clone(), task.attempt);
         if task.state != TaskState::Exited {
-            commands.push(Command::Stop { task: task_id, attempt, grace_s: 0.0 });
+            commands.push(Command::Stop { task: task_id, attempt: number, grace_s: 0.0 });
         } else if self.know.machines.get(&machine).is_some_and(|m| !m.may_still_start(attempt)) {
             // Off the pages, so its end is committed; settled, so no `run` of it
             // can still arrive and start it anew.
-            commands.push(Command::Forget { task: task_id, attempt });
+            commands.push(Command::Forget { task: task_id, attempt: number });
         }
     }
 
@@ -182,6 +183,12 @@
             return;
         };
         let outcome = match reported.cause {
+            // A service is done when it is cancelled, and not before.
+            Some(Cause::Done) if job.spec.kind == Kind::Service => {
+                job.hold_until = now + 1.0;
+                Outcome::Again
+            }
+            Some(Cause::PeersGone | Cause::Alone) => Outcome::Again,
             Some(Cause::Done) => {
                 machine.failures = 0;
                 job.failures = 0;
@@ -235,6 +242,10 @@
             }
             Some(Cause::Stopped) => Outcome::Again,
         };
+        if outcome != Outcome::Done {
+            let machine = self.know.machine_names.name(machine_ix);
+            tracing::info!(task = %reported.task, machine, cause = ?reported.cause, why = ?stop, "ended before completion");
+        }
         self.release(id, outcome);
     }
 }
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -6,13 +6,15 @@
     place::{self, Victim},
     restart,
 };
-use gladekeel_wire::worker::TaskState;
+use gladekeel_wire::{job::Kind, worker::TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Placements in one round, at most.
 const MAX_PLACED: usize = 500;
 /// Tasks for which room is made in one round, at most.
 const MAX_PREEMPTING: usize = 8;
+/// A gang that has waited for longer goes first.
+const GANG_PATIENCE_S: f64 = 60.0;
 /// A machine that was not heard of for this long gets no new work.
 const HEARD_S: f64 = 6.0;
 
@@ -27,9 +29,17 @@
     pub(super) fn round(&mut self, now: f64, options: &Options) {
         self.restart_slow(now, options);
         let mut picture = self.picture(now);
+        let mut gangs: BTreeMap<u32, u64> = BTreeMap::new();
         for placement in picture.round.place(&options.hopper) {
             let (job, machine) = (picture.jobs[placement.job], picture.machines[placement.machine]);
-            self.propose(job, machine, placement.restart, now);
+            let gang = picture.round.jobs[placement.job].gang.then(|| {
+                *gangs.entry(job).or_insert_with(|| {
+                    let first = self.next_attempt;
+                    self.next_attempt += u64::from(self.jobs[&job].spec.tasks);
+                    first
+                })
+            });
+            self.propose(job, machine, gang, now);
         }
         self.make_room(now, options);
     }
@@ -86,13 +96,17 @@
                 zone_cap: if job.spec.spread { job.spec.tasks.div_ceil(2) } else { u32::MAX },
                 spot: job.spec.spot,
                 by_zone: by_zone.remove(ix).unwrap_or_default(),
+                gang: job.spec.kind == Kind::Gang,
+                overdue: job.spec.kind == Kind::Gang
+                    && job.waits_since.is_some_and(|since| now - since > GANG_PATIENCE_S),
             });
         }
         picture
     }
 
-    /// Decides that a job's next task goes to a machine.
-    fn propose(&mut self, job_ix: u32, machine_ix: u32, restart: bool, now: f64) {
+    /// Decides that a job's next task goes to a machine; `gang` is the number that
+    /// the tasks of a gang share.
+    fn propose(&mut self, job_ix: u32, machine_ix: u32, gang: Option<u64>, now: f64) {
         let Some(page) = self.page_for(machine_ix) else { return };
         let (Some(job), Some(machine)) =
             (self.jobs.get_mut(&job_ix), self.know.machines.get_mut(&machine_ix))
@@ -100,8 +114,8 @@
             return;
         };
         let Some(index) = job.next_pending() else { return };
-        let id = self.next_attempt;
-        self.next_attempt += 1;
+        let id = gang.map_or(self.next_attempt, |first| first + u64::from(index));
+        self.next_attempt += u64::from(gang.is_none());
         job.assigned += 1;
         if job.pending.is_empty() {
             job.waits_since = None;
@@ -132,7 +146,7 @@
             },
         );
         self.commits.dirty_page(page);
-        tracing::debug!(job = %job.id, index, machine = machine.name, restart, now, "placed");
+        tracing::debug!(job = %job.id, index, machine = machine.name, now, "placed");
     }
 
     /// Stops tasks that are slow on machines where everything is.
@@ -149,7 +163,8 @@
                 machine: attempt.machine,
                 ran_s: now - since,
                 median_s: median,
-                may_restart: attempt.stop.is_none()
+                may_restart: job.spec.kind == Kind::Array
+                    && attempt.stop.is_none()
                     && !job.restarted.has(attempt.index)
                     && attempt.seen == Some(TaskState::Running),
             });
@@ -192,7 +207,8 @@
             if attempt.stop.is_some() || matches!(attempt.phase, Phase::Releasing(_)) {
                 picture.round.machines[*at].free += attempt.room;
                 picture.round.teams[job.team as usize].used -= attempt.room;
-            } else if attempt.phase == Phase::Live {
+            } else if attempt.phase == Phase::Live && job.spec.kind != Kind::Gang {
+                // One task of a gang cannot be stopped without losing all.
                 let ran = attempt.run_since.map_or(0.0, |since| now - since);
                 let saved = job.spec.checkpoint_s;
                 victims.push(Victim {
@@ -210,7 +226,8 @@
         picture.round.place(&options.hopper);
         let mut stopped = BTreeSet::new();
         for at in picture.round.order() {
-            if stopped.len() >= MAX_PREEMPTING || !waiting(self, picture.jobs[at]) {
+            let gang = picture.round.jobs[at].gang;
+            if gang || stopped.len() >= MAX_PREEMPTING || !waiting(self, picture.jobs[at]) {
                 continue;
             }
             // Tasks that lose little are stopped soon, others after a longer wait.
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -81,6 +81,10 @@
     pub spot: bool,
     /// Tasks on machines, by zone.
     pub by_zone: Vec<u32>,
+    /// All of its tasks start together or none does.
+    pub gang: bool,
+    /// A gang that has waited long: it goes first.
+    pub overdue: bool,
 }
 
 /// A task to place: a job, a machine and how many.
@@ -122,12 +126,41 @@
                 }
             }
         }
+        for (at, job) in order.iter().copied().enumerate() {
+            if self.jobs[job].overdue
+                && !self.place_gang(job, &mut placed, false)
+                && self.could_hold(job)
+            {
+                // Room for it gathers only if those behind it leave it alone.
+                let behind: Vec<usize> = order[at..].to_vec();
+                return self.place_in(&order[..at], &targets, placed, &behind);
+            }
+        }
+        self.place_in(&order, &targets, placed, &[])
+    }
+
+    /// Guarantees, shares and lending, for these jobs.
+    fn place_in(
+        &mut self,
+        order: &[usize],
+        targets: &[u32],
+        mut placed: Vec<Placement>,
+        held: &[usize],
+    ) -> Vec<Placement> {
+        let order: Vec<usize> = order.iter().copied().filter(|job| !held.contains(job)).collect();
         // Guarantees come before shares: within them nobody waits for another team.
         for job in order.iter().copied() {
-            while self.place_one(job, &mut placed, false, true) {}
+            if self.jobs[job].gang {
+                self.place_gang(job, &mut placed, true);
+            } else {
+                while self.place_one(job, &mut placed, false, true) {}
+            }
         }
         for job in order.iter().copied() {
-            while self.on_machines(job) < targets[job] {
+            if self.jobs[job].gang && targets[job] >= self.jobs[job].remaining {
+                self.place_gang(job, &mut placed, false);
+            }
+            while !self.jobs[job].gang && self.on_machines(job) < targets[job] {
                 if !self.place_one(job, &mut placed, false, false) {
                     break;
                 }
@@ -136,17 +169,45 @@
         // Room between remaining tasks and shares, and room that shares left in
         // pieces, is lent.
         for job in order {
-            while self.place_one(job, &mut placed, false, false) {}
+            if self.jobs[job].gang {
+                self.place_gang(job, &mut placed, false);
+            } else {
+                while self.place_one(job, &mut placed, false, false) {}
+            }
         }
         placed
     }
 
+    /// Places all of a gang's tasks, or none.
+    fn place_gang(&mut self, index: usize, placed: &mut Vec<Placement>, guaranteed: bool) -> bool {
+        let job = &self.jobs[index];
+        if job.pending == 0 || job.pending < job.remaining {
+            return false;
+        }
+        let before = (self.machines.clone(), self.teams.clone(), job.clone(), placed.len());
+        while self.place_one(index, placed, false, guaranteed) {}
+        let whole = self.jobs[index].pending == 0;
+        if !whole {
+            (self.machines, self.teams, self.jobs[index]) = (before.0, before.1, before.2);
+            placed.truncate(before.3);
+        }
+        whole
+    }
+
+    /// Whether the machines could hold a gang if nothing else were on them.
+    fn could_hold(&self, index: usize) -> bool {
+        let job = &self.jobs[index];
+        let fits = |m: &Machine| job.task.times_in(m.whole, job.remaining);
+        let machines = self.machines.iter().filter(|m| m.open && self.allowed(job, m));
+        machines.map(fits).sum::<u32>() >= job.remaining
+    }
+
     /// Jobs by priority, then virtual size, then age.
     pub fn order(&self) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.jobs.len()).collect();
         order.sort_by_key(|index| {
             let job = &self.jobs[*index];
-            (u8::MAX - job.priority, job.remaining)
+            (!job.overdue, u8::MAX - job.priority, job.remaining)
         });
         order
     }
@@ -354,6 +415,8 @@
             zone_cap: u32::MAX,
             spot: true,
             by_zone: Vec::new(),
+            gang: false,
+            overdue: false,
         }
     }
 
@@ -423,6 +486,25 @@
         assert_eq!(placed, [Placement { job: 1, machine: 0, restart: true }]);
     }
 
+    #[test]
+    fn gangs_start_whole_and_overdue_ones_first() {
+        let mut gang = job(0, 16.0, 4);
+        gang.gang = true;
+        let other = job(0, 16.0, 2);
+        let teams = vec![team(0.0, 1000.0)];
+        let place = |machines: usize, gang: &Job| {
+            let jobs = vec![gang.clone(), other.clone()];
+            let mut round = round(vec![machine(0, false); machines], teams.clone(), jobs);
+            let placed = round.place(&Hopper::default());
+            [count(&placed, 0), count(&placed, 1)]
+        };
+        assert_eq!(place(3, &gang), [4, 2]);
+        assert_eq!(place(2, &gang), [0, 2], "the smaller job leaves too little for the gang");
+        gang.overdue = true;
+        assert_eq!(place(2, &gang), [4, 0]);
+        assert_eq!(place(1, &gang), [0, 2], "what can never hold it need not be kept for it");
+    }
+
     #[test]
     fn preemption_takes_lower_priority_or_what_is_borrowed() {
         let mut machines = vec![machine(0, false); 2];
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -195,6 +195,13 @@
             "type" => spec.types = Some(vec![(*value).into()]),
             "one_zone" => spec.one_zone = *value == "yes",
             "scatter" => spec.spread = *value == "yes",
+            "kind" => {
+                spec.kind = match *value {
+                    "gang" => Kind::Gang,
+                    "service" => Kind::Service,
+                    other => return Err(format!("no kind {other}")),
+                }
+            }
             "spot" => spec.spot = *value == "yes",
             "priority" => {
                 spec.priority = match *value {
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -2,7 +2,7 @@
 
 use gladekeel_wire::{
     TaskId,
-    job::JobSpec,
+    job::{JobSpec, Kind},
     worker::{Cause, Command, Direct, Report, ReportAnswer, TaskReport, TaskState},
 };
 use std::collections::BTreeSet;
@@ -297,7 +297,8 @@
                     task.state = TaskState::Running;
                     let fails = self.sick || task.spec.class == "faulty";
                     let run = if fails { 0.5 } else { task.spec.estimate_s * self.slow };
-                    task.until = now + run;
+                    let service = task.spec.kind == Kind::Service && !fails;
+                    task.until = if service { f64::MAX } else { now + run };
                     task.cause = fails.then_some(Cause::Error);
                     happened.push(Happened::Started(task.task.clone()));
                 }
--- a/crates/gladekeel-wire/src/job.rs
+++ b/crates/gladekeel-wire/src/job.rs
@@ -27,6 +27,11 @@
 pub enum Kind {
     /// Independent tasks, each of which runs to completion.
     Array,
+    /// Tasks that run together or not at all.
+    #[serde(rename = "ensemble")]
+    Gang,
+    /// Tasks that run until the job is cancelled.
+    Service,
 }
 
 /// A job as its user describes it.
@@ -209,7 +214,7 @@
             ("\"vcpus\":8.0", "\"vcpus\":NaN"),
             ("\"vcpus\":8.0,", ""),
             ("job-000412", "job/000412"),
-            ("\"array\"", "\"service\""),
+            ("\"array\"", "\"gang\""),
             ("\"high\"", "\"highest\""),
             ("\"scatter\":false", "\"scatter\":0"),
             ("\"reckon_s\":240.0", "\"reckon_s\":-1"),
--- a/crates/gladekeel-wire/src/worker.rs
+++ b/crates/gladekeel-wire/src/worker.rs
@@ -10,6 +10,8 @@
     /// Waiting for its image.
     #[serde(rename = "pulling")]
     Fetching,
+    /// Has its image, waits for the other tasks of its gang.
+    Waiting,
     /// Running.
     Running,
     /// Told to stop, saving.
@@ -32,6 +34,12 @@
     Stopped,
     /// Failed.
     Error,
+    /// Another task of its gang went away.
+    #[serde(rename = "mates_gone")]
+    PeersGone,
+    /// The other tasks of its gang did not come.
+    #[serde(rename = "incomplete")]
+    Alone,
     /// Refused: no room on the machine.
     #[serde(rename = "full")]
     NoRoom,
