--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -5,7 +5,7 @@
 use crate::{
     api::Reply,
     keys,
-    node::{Node, RequestId},
+    node::{Node, RequestId, Then},
 };
 use gladekeel_store::Outcome;
 use gladekeel_wire::{
@@ -74,11 +74,10 @@
     pub(crate) fn on_admin(&mut self, now: f64, id: RequestId, route: AdminRoute, body: &[u8]) {
         match route {
             AdminRoute::Settings => {
-                let settings = VersionedSettings {
-                    version: self.world.options_version,
-                    settings: self.options.values(),
-                };
-                self.reply(now, id, Reply::json(200, &settings));
+                // What another node has just stored must show here as well.
+                if !self.overloaded(now, id) {
+                    self.wait(now, id, None, Then::Settings);
+                }
             }
             AdminRoute::SetSettings => self.on_set_settings(now, id, body),
             AdminRoute::Status => {
@@ -114,6 +113,14 @@
         }
     }
 
+    pub(crate) fn answer_settings(&mut self, now: f64, id: RequestId) {
+        let settings = VersionedSettings {
+            version: self.world.options_version,
+            settings: self.options.values(),
+        };
+        self.reply(now, id, Reply::json(200, &settings));
+    }
+
     fn on_set_settings(&mut self, now: f64, id: RequestId, body: &[u8]) {
         let wanted: VersionedSettings = match serde_json::from_slice(body) {
             Ok(wanted) => wanted,
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -176,14 +176,16 @@
 #[derive(Debug)]
 pub(crate) struct Waiter {
     request: RequestId,
-    id: JobId,
+    id: Option<JobId>,
     since: f64,
     then: Then,
 }
 
 /// What follows the reading.
 #[derive(Debug)]
-enum Then {
+pub(crate) enum Then {
+    /// Answer an operator with the settings.
+    Settings,
     /// Answer with the job's state, or 404.
     Poll,
     /// Answer with the job's state, or create it.
@@ -423,7 +425,7 @@
         self.reply(now, id, Reply::later(503, 1, what));
     }
 
-    fn overloaded(&mut self, now: f64, id: RequestId) -> bool {
+    pub(crate) fn overloaded(&mut self, now: f64, id: RequestId) -> bool {
         let over = self.waiting.len() + self.riding.len() + self.writes.len() >= MAX_WAITING;
         if over {
             self.reply(now, id, Reply::later(503, 2, "too many requests are waiting"));
@@ -435,7 +437,7 @@
         over
     }
 
-    fn wait(&mut self, now: f64, request: RequestId, id: JobId, then: Then) {
+    pub(crate) fn wait(&mut self, now: f64, request: RequestId, id: Option<JobId>, then: Then) {
         self.waiting.push(Waiter { request, id, since: now, then });
         self.sync_wanted = true;
     }
@@ -444,7 +446,7 @@
         if let Some(status) = self.final_status(&id) {
             self.reply(now, request, Reply::json(200, &status));
         } else if !self.overloaded(now, request) {
-            self.wait(now, request, id, Then::Poll);
+            self.wait(now, request, Some(id), Then::Poll);
         }
     }
 
@@ -467,11 +469,11 @@
             return;
         }
         if self.world.jobs.contains_key(&id) {
-            return self.wait(now, request, id, Then::Poll);
+            return self.wait(now, request, Some(id), Then::Poll);
         }
         match api::judge(&self.params, &self.world, &spec) {
             // A job that was accepted once is never refused later, so look first.
-            Verdict::Never(why) => self.wait(now, request, id, Then::Refuse(why)),
+            Verdict::Never(why) => self.wait(now, request, Some(id), Then::Refuse(why)),
             Verdict::Unknown => self.later(now, request, "machine types are not known yet"),
             Verdict::Fine => {
                 let spec = Some(Rc::new(spec));
@@ -490,13 +492,17 @@
         if self.world.jobs.contains_key(&id) {
             self.writes.push_back(UserWrite { request, id, spec: None, since: now, tries: 0 });
         } else {
-            self.wait(now, request, id, Then::Cancel { tries: 0 });
+            self.wait(now, request, Some(id), Then::Cancel { tries: 0 });
         }
     }
 
     /// The store was read after these requests came in.
     fn serve(&mut self, now: f64, waiters: Vec<Waiter>) {
         for Waiter { request, id, since, then } in waiters {
+            let Some(id) = id else {
+                self.answer_settings(now, request);
+                continue;
+            };
             let status = api::status(&self.world, &id);
             let open = status.as_ref().is_some_and(|status| !status.state.is_final());
             match (then, status) {
@@ -515,7 +521,7 @@
                     self.later(now, request, "not accepted yet");
                 }
                 (Then::Refuse(why), None) => self.reply(now, request, Reply::error(422, why)),
-                (Then::Poll | Then::Cancel { .. }, None) => {
+                (Then::Poll | Then::Cancel { .. } | Then::Settings, None) => {
                     self.reply(now, request, Reply::error(404, "no such job"));
                 }
             }
@@ -551,7 +557,7 @@
                     };
                     self.waiting.push(Waiter {
                         request: write.request,
-                        id: write.id,
+                        id: Some(write.id),
                         since: write.since,
                         then,
                     });
@@ -579,7 +585,7 @@
                     };
                     self.waiting.push(Waiter {
                         request: write.request,
-                        id: write.id,
+                        id: Some(write.id),
                         since: now,
                         then,
                     });
--- /dev/null
+++ b/crates/gladekeel-testkit/examples/playground.rs
@@ -0,0 +1,341 @@
+//! The stand-ins on loopback: a state service, a cloud and its workers, and settings
+//! files for three controller nodes, to try gladekeel without anything else.
+//!
+//! Machines boot in five seconds and images take no time. Nothing is kept.
+
+use gladekeel_controller::cloud::{CloudCall, CloudOutcome};
+use gladekeel_http::{Client, Limits, Request, Response, Server};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_testkit::{
+    cloud::Cloud,
+    scenario::example_settings,
+    state::{self, State},
+    worker::Worker,
+};
+use gladekeel_wire::{
+    TaskId,
+    cloud::{MachineNames, MachineType, MachineTypes},
+    job::JobSpec,
+    state::{Lease, NewLease, TxnAnswer},
+    worker::{Direct, Redirect, ReportAnswer},
+};
+use serde::Serialize;
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    error::Error,
+    fs,
+    net::SocketAddr,
+    path::Path,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpListener, task::spawn_local, time::sleep};
+
+const STATE: u16 = 12379;
+const CLOUD: u16 = 18443;
+const NODES: [u16; 3] = [18080, 18081, 18082];
+const MESH: [u16; 3] = [18090, 18091, 18092];
+
+struct Playground {
+    start: Instant,
+    state: RefCell<State>,
+    cloud: RefCell<Cloud>,
+    workers: RefCell<BTreeMap<String, Worker>>,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let dir = Path::new("target/playground");
+    fs::create_dir_all(dir)?;
+    for node in 0..NODES.len() {
+        fs::write(dir.join(format!("node-{node}.toml")), settings(node))?;
+    }
+    fs::write(dir.join("job.json"), JOB)?;
+    println!("settings and a job are in {}; stop with Ctrl-C", dir.display());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve())
+}
+
+const JOB: &str = r#"{"name_id":"job-000001","rig":"batch","crew":"red","build":"array",
+ "urgency":"normal","pieces":12,"vcpus":4.0,"gpus":0.0,"ram_gb":4.0,"pattern":"img",
+ "size_gb":1.0,"one_zone":false,"scatter":false,"driftwood":true,
+ "reckon_s":10.0,"mark_s":0.0,"stow_s":0.0}
+"#;
+
+fn settings(node: usize) -> String {
+    let mut text = format!(
+        "node = \"node-{node}\"\nsite = \"a\"\nbind = \"127.0.0.1:{}\"\nmesh_addr = \"127.0.0.1:{}\"\n",
+        NODES[node], MESH[node]
+    );
+    for other in (0..NODES.len()).filter(|other| *other != node) {
+        text += &format!(
+            "\n[[siblings]]\nnode = \"node-{other}\"\nsite = \"a\"\npeer_addr = \"127.0.0.1:{}\"\n",
+            MESH[other]
+        );
+    }
+    text + &format!(
+        r#"
+[services]
+cloud = "127.0.0.1:{CLOUD}"
+state = "127.0.0.1:{STATE}"
+
+[deployment]
+count = 3
+zones = ["a"]
+
+[[deployment.teams]]
+name = "red"
+cpus = 64.0
+cpus_max = 200.0
+
+[deployment.workers]
+report_s = 3.0
+lease_s = 30.0
+cancel_s = 50.0
+
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+
+[deployment.cloud]
+rps = 6.0
+list_lag_s = 4.0
+
+[deployment.limits]
+cpu_share = 0.2
+ram_mb = 200.0
+max_connections = 1000
+"#
+    )
+}
+
+async fn serve() -> Result<(), Box<dyn Error>> {
+    let params = example_settings(0, 3).params;
+    let types = vec![MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 10.0,
+        price: 2.0,
+        spot_price: Some(0.7),
+        boot_s: 5.0,
+        zones: vec!["a".into()],
+    }];
+    let capacity = BTreeMap::from([(("a".into(), false), 4), (("a".into(), true), 4)]);
+    let play = Rc::new(Playground {
+        start: Instant::now(),
+        state: RefCell::new(State::new(state::Limits {
+            rps: params.state.rps,
+            write_rps: params.state.write_rps,
+            txn_ops: params.state.txn_ops,
+            value: (params.state.value_kb * 1024.0) as usize,
+        })),
+        cloud: RefCell::new(Cloud::new(types, capacity, 4.0)),
+        workers: RefCell::default(),
+    });
+    let limits = Limits::for_sockets(1000);
+    let cloud = Server::new(TcpListener::bind(("127.0.0.1", CLOUD)).await?, limits);
+    let state = Server::new(TcpListener::bind(("127.0.0.1", STATE)).await?, limits);
+    let (a, b) = (play.clone(), play);
+    spawn_local(cloud.run(move |request| {
+        let play = a.clone();
+        async move { play.answer_cloud(&request) }
+    }));
+    state
+        .run(move |request| {
+            let play = b.clone();
+            async move { play.answer_state(&request) }
+        })
+        .await;
+    Ok(())
+}
+
+fn json<T: Serialize>(status: u16, body: &T) -> Response {
+    Response::json(status, serde_json::to_vec(body).unwrap_or_default())
+}
+
+fn query<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request
+        .query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|p| p.0 == name)
+        .map(|p| p.1)
+}
+
+impl Playground {
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn answer_state(&self, request: &Request) -> Response {
+        let prefix = || query(request, "starts").unwrap_or("").to_owned();
+        let lease = || request.path.split('/').nth(2).and_then(|id| id.parse().ok());
+        let call = match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/kv") => Some(Call::List {
+                prefix: prefix(),
+                after: query(request, "since").map(Into::into),
+            }),
+            ("GET", "/follow") => query(request, "since")
+                .and_then(|since| since.parse().ok())
+                .map(|since| Call::Follow { prefix: prefix(), since }),
+            ("POST", "/commit") => serde_json::from_slice(&request.body).ok().map(Call::Commit),
+            ("POST", "/leases") => serde_json::from_slice::<NewLease>(&request.body)
+                .ok()
+                .map(|lease| Call::Grant { ttl_ms: lease.ttl_ms }),
+            ("POST", path) if path.ends_with("/touch") => lease().map(Call::Touch),
+            ("DELETE", _) => lease().map(Call::Revoke),
+            _ => None,
+        };
+        let Some(call) = call else { return Response::text(400, "malformed\n") };
+        match self.state.borrow_mut().call(self.now(), 0, &call) {
+            Outcome::Rows(rows) => json(200, &rows),
+            Outcome::Events(events) => json(200, &events),
+            Outcome::TooOld => Response::text(410, "too old\n"),
+            Outcome::Committed(revision) => json(200, &TxnAnswer { revision, failed: Vec::new() }),
+            Outcome::Conflict(failed) => json(409, &TxnAnswer { revision: 0, failed }),
+            Outcome::Granted(id) => json(200, &Lease { id }),
+            Outcome::Done => Response::json(200, "{}"),
+            Outcome::NoLease => Response::text(404, "no such lease\n"),
+            Outcome::Busy => Response::text(429, "busy\n"),
+            Outcome::Refused | Outcome::Unknown => Response::text(503, "trouble\n"),
+        }
+    }
+
+    fn answer_cloud(self: &Rc<Self>, request: &Request) -> Response {
+        let call = match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/flavors") => Some(CloudCall::Types),
+            ("GET", "/machines") => {
+                Some(CloudCall::List { after: query(request, "since").map(Into::into) })
+            }
+            ("POST", "/machines") => {
+                serde_json::from_slice(&request.body).ok().map(CloudCall::Rent)
+            }
+            ("POST", "/machines/delete") => serde_json::from_slice::<MachineNames>(&request.body)
+                .ok()
+                .map(|names| CloudCall::Delete(names.machines)),
+            _ => None,
+        };
+        let Some(call) = call else { return Response::text(400, "malformed\n") };
+        let (outcome, came, went) = self.cloud.borrow_mut().call(self.now(), &call);
+        for name in went {
+            println!("{name} is gone");
+            self.workers.borrow_mut().remove(&name);
+        }
+        for name in came {
+            spawn_local(self.clone().work(name));
+        }
+        match outcome {
+            CloudOutcome::Types(MachineTypes { types }) => json(200, &MachineTypes { types }),
+            CloudOutcome::Rented(machines) => json(200, &MachineNames { machines }),
+            CloudOutcome::List(list) => json(200, &list),
+            CloudOutcome::Deleted => Response::json(200, "{}"),
+            CloudOutcome::NoCapacity => Response::json(503, r#"{"error":"no capacity"}"#),
+            _ => Response::json(503, r#"{"error":"trouble"}"#),
+        }
+    }
+
+    /// A job as the store has it: workers fetch descriptions themselves.
+    fn spec(&self, task: &TaskId) -> Option<JobSpec> {
+        let call = Call::List { prefix: format!("gk/job/{}", task.job), after: None };
+        let Outcome::Rows(rows) = self.state.borrow_mut().call(self.now(), 0, &call) else {
+            return None;
+        };
+        let row = rows.items.into_iter().find(|row| row.key.ends_with(task.job.as_str()))?;
+        serde_json::from_value(row.value).ok()
+    }
+
+    /// Boots a machine and runs its worker until the machine is gone.
+    async fn work(self: Rc<Self>, name: String) {
+        sleep(Duration::from_secs(5)).await;
+        let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else { return };
+        let Ok(addr) = listener.local_addr() else { return };
+        if !self.cloud.borrow().present().contains(&name) {
+            return;
+        }
+        let spot = self.cloud.borrow().machines[&name].spot;
+        let room = (32.0, 0.0, 64.0);
+        let worker =
+            Worker::new(name.clone(), "m32".into(), "a".into(), spot, room, 30.0, self.now(), 0);
+        self.workers.borrow_mut().insert(name.clone(), worker);
+        println!("{name} is up at {addr}");
+        let direct = spawn_local({
+            let (play, name) = (self.clone(), name.clone());
+            Server::new(listener, Limits::for_sockets(100)).run(move |request| {
+                let (play, name) = (play.clone(), name.clone());
+                async move { play.answer_direct(&name, addr, &request) }
+            })
+        });
+        let mut next = self.now();
+        loop {
+            sleep(Duration::from_millis(100)).await;
+            let now = self.now();
+            let report = {
+                let mut workers = self.workers.borrow_mut();
+                let Some(worker) = workers.get_mut(&name) else { break };
+                worker.step(now);
+                let due = now >= next || (worker.changed && now >= next - 2.5);
+                if !due {
+                    continue;
+                }
+                worker.changed = false;
+                next = now + 3.0;
+                let mut report = worker.report(now);
+                report.addr = addr.to_string();
+                (worker.node, report)
+            };
+            self.send_report(&name, report.0, &report.1, now).await;
+        }
+        direct.abort();
+    }
+
+    async fn send_report(
+        &self,
+        name: &str,
+        node: usize,
+        report: &gladekeel_wire::worker::Report,
+        sent_at: f64,
+    ) {
+        let client = Client::new(SocketAddr::from(([127, 0, 0, 1], NODES[node])), 0);
+        let body = serde_json::to_vec(report).unwrap_or_default();
+        let reply = client.send("POST", "/checkin", &body, Duration::from_secs(4)).await;
+        let mut workers = self.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(name) else { return };
+        match reply {
+            Ok(reply) if reply.status == 200 => {
+                if let Ok(answer) = serde_json::from_slice::<ReportAnswer>(&reply.body) {
+                    let find = |task: &TaskId| self.spec(task);
+                    worker.answered(self.now(), report.session, sent_at, &answer, &find);
+                }
+            }
+            Ok(reply) if reply.status == 421 => {
+                let named = serde_json::from_slice::<Redirect>(&reply.body).ok();
+                let named = named.and_then(|r| r.report_to?.strip_prefix("node-")?.parse().ok());
+                worker.node = named.unwrap_or((node + 1) % NODES.len()) % NODES.len();
+                worker.changed = true;
+            }
+            _ => worker.node = (node + 1) % NODES.len(),
+        }
+    }
+
+    fn answer_direct(&self, name: &str, addr: SocketAddr, request: &Request) -> Response {
+        let mut workers = self.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(name) else { return Response::text(503, "gone\n") };
+        let mut status = 200;
+        if request.path == "/do" {
+            let Ok(direct) = serde_json::from_slice::<Direct>(&request.body) else {
+                return Response::text(400, "malformed\n");
+            };
+            let find = |task: &TaskId| self.spec(task);
+            let (executed, _) = worker.direct(self.now(), &direct, &find);
+            status = if executed { 200 } else { 409 };
+        }
+        let mut report = worker.report(self.now());
+        report.addr = addr.to_string();
+        json(status, &report)
+    }
+}
