--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -331,7 +331,13 @@
         for ix in &sent.fates {
             if let Some(job) = self.jobs.get_mut(ix) {
                 job.fate = Some(JobState::Done);
-                tracing::info!(job = %job.id, took_s = now - job.known_at, "job done");
+                tracing::info!(
+                    job = %job.id,
+                    class = job.spec.class,
+                    took_s = now - job.known_at,
+                    deadline_s = job.spec.deadline_s,
+                    "job done"
+                );
             }
         }
         for write in &txn.writes {
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -268,7 +268,9 @@
             }
         }
         for (ix, machine) in &mut self.know.machines {
-            if machine.listed && !listed.contains(ix) && now - machine.quiet_since > 5.0 {
+            // One that only the pages tell of was up before this leader began.
+            let was_listed = machine.listed || machine.born == f64::NEG_INFINITY;
+            if was_listed && !listed.contains(ix) && now - machine.quiet_since > 5.0 {
                 // Lists may be older than the one before: one of them proves little.
                 machine.missing += 1;
                 if machine.missing >= 2 && machine.delete.is_none() {
@@ -358,7 +360,7 @@
             let name = zone.map(|zone| self.catalog.zones.name(zone).as_str());
             zones.get(&zone).is_some_and(|(heard, _)| *heard > 0)
                 || (heard_any
-                    && name.is_some_and(|name| name == own_zone || heard_zones.contains(&name)))
+                    && name.is_none_or(|name| name == own_zone || heard_zones.contains(&name)))
         };
         let reached: BTreeSet<Option<u32>> =
             zones.keys().copied().filter(|zone| in_reach(*zone)).collect();
@@ -391,7 +393,9 @@
                 }
             } else {
                 let boot = machine.kind.and_then(|kind| boots.get(&kind)).copied().unwrap_or(60.0);
-                if now - machine.born > boot * BOOT_MULTIPLE + 10.0 {
+                // One that was up already has not reported to this leader yet; it may be
+                // about to.
+                if quiet > options.silent_s && now - machine.born > boot * BOOT_MULTIPLE + 10.0 {
                     tracing::info!(machine = machine.name, "never came up: deleted");
                     machine.delete = Some("never came up");
                 }
@@ -453,7 +457,7 @@
     }
 
     /// What there is of a type, and of its ordinary machines alone.
-    fn supply(&self, now: f64, kind: u32, boot_s: f64) -> (Supply, Supply) {
+    fn supply(&self, now: f64, kind: u32, boot_s: f64, silent_s: f64) -> (Supply, Supply) {
         let (mut any, mut ordinary) = (Supply::default(), Supply::default());
         for machine in self.know.machines.values() {
             if machine.kind != Some(kind) || machine.leaving() {
@@ -462,9 +466,11 @@
             let age = now - machine.born;
             for supply in [Some(&mut any), (!machine.spot).then_some(&mut ordinary)] {
                 let Some(supply) = supply else { continue };
-                if machine.heard_at.is_some() {
+                if machine.heard_at.is_some()
+                    || (machine.was_up() && now - machine.quiet_since < silent_s)
+                {
                     supply.up += 1.0;
-                } else if age <= boot_s * 1.6 + 5.0 {
+                } else if !machine.was_up() && age <= boot_s * 1.6 + 5.0 {
                     // One that boots unusually long is no longer counted on.
                     supply.booting.push((boot_s - age).max(5.0));
                 }
@@ -491,7 +497,7 @@
             .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
             .collect();
         let may_spot = machine_type.spot_price.is_some();
-        let (supply, supply_ordinary) = self.supply(now, kind, boot_s);
+        let (supply, supply_ordinary) = self.supply(now, kind, boot_s, options.silent_s);
         let all: Vec<Need> = needs.iter().map(|(_, need)| *need).collect();
         let no_spot: Vec<Need> =
             needs.iter().filter(|(spot, _)| !spot).map(|(_, need)| *need).collect();
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -267,7 +267,7 @@
         };
         let machine_ix = self.know.machine_names.intern(&machine.to_owned());
         let machine =
-            self.know.machines.entry(machine_ix).or_insert_with(|| Machine::new(machine, now));
+            self.know.machines.entry(machine_ix).or_insert_with(|| Machine::restored(machine, now));
         machine.page = Some(page);
         machine.attempts.push(attempt);
         let task = &self.jobs[&job_ix].room;
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -397,6 +397,16 @@
         !self.gone && (self.heard_at.is_some() || !self.attempts.is_empty())
     }
 
+    /// A machine that a page tells of: it was up before this leader began.
+    pub(super) fn restored(name: &str, now: f64) -> Machine {
+        Machine { born: f64::NEG_INFINITY, ..Machine::new(name, now) }
+    }
+
+    /// Whether it was up once, as far as pages or the list say.
+    pub(super) fn was_up(&self) -> bool {
+        self.born == f64::NEG_INFINITY || self.list_state == Some(MachineState::Running)
+    }
+
     /// Its state in a word.
     pub fn state(&self) -> &'static str {
         match self {
