--- a/crates/gladekeel-controller/src/keys.rs
+++ b/crates/gladekeel-controller/src/keys.rs
@@ -2,7 +2,7 @@
 //!
 //! | key | value | written by |
 //! | --- | --- | --- |
-//! | `gk/job/<id>` | the job's description | any node, once |
+//! | `gk/job/<id>` | the job's description and when it was accepted | any node, once |
 //! | `gk/fate/<id>` | `"done"` or `"aborted"` | the leader, or any node for a cancellation; once |
 //! | `gk/progress/<id>/<chunk>` | finished and restarted tasks | the leader |
 //! | `gk/assign/<page>` | which attempts are on which machines | the leader |
@@ -26,6 +26,8 @@
 pub const DRAIN: &str = "gk/drain/";
 /// Prefix of jobs.
 pub const JOB: &str = "gk/job/";
+/// Field of a stored job: the time of day at which it was accepted.
+pub const ACCEPTED_AT: &str = "accepted_at";
 /// Prefix of final states.
 pub const FATE: &str = "gk/fate/";
 /// Prefix of progress.
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -102,6 +102,8 @@
     pub token: u64,
     /// When it began to lead under this token.
     since: f64,
+    /// Time of day at time 0.
+    epoch: f64,
     params: Rc<Params>,
     catalog: Catalog,
     know: Knowledge,
@@ -131,6 +133,7 @@
         world: &World,
         token: u64,
         now: f64,
+        epoch: f64,
         params: Rc<Params>,
         salt: u64,
         know: Option<Knowledge>,
@@ -148,6 +151,7 @@
         let mut leader = Leader {
             token,
             since: now,
+            epoch,
             params,
             catalog,
             know: know.unwrap_or_default(),
@@ -212,6 +216,9 @@
         };
         let (done, restarted) = world.finished(id, stored.spec.tasks);
         let mut job = Job::new(&mut self.catalog, id.clone(), stored, team, now, done, restarted);
+        if let Some(accepted) = stored.accepted_at {
+            job.known_at = (accepted - self.epoch).min(now);
+        }
         job.fate = world.fates.get(id).copied();
         self.jobs.insert(ix, job);
         self.round_wanted = true;
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -169,7 +169,7 @@
     pub restarts: u32,
     /// Attempts, releasing ones included.
     pub assigned: u32,
-    /// When the leader learned of it.
+    /// When it was accepted, as far as known, on the leader's clock.
     pub known_at: f64,
     /// Since when it has had tasks that found no room.
     pub waits_since: Option<f64>,
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -204,6 +204,7 @@
     pub(crate) params: Rc<Params>,
     record: LeaderRecord,
     place: u32,
+    epoch: f64,
     pub(crate) peers: Vec<PeerView>,
     rng: StdRng,
     pub(crate) options: Options,
@@ -256,8 +257,8 @@
 
 impl Node {
     /// A node that has just started. `seed` must differ from start to start: it
-    /// names the incarnation.
-    pub fn new(settings: Settings, seed: u64) -> Node {
+    /// names the incarnation. `epoch` is the time of day at the start, in seconds.
+    pub fn new(settings: Settings, seed: u64, epoch: f64) -> Node {
         let settings = Rc::new(settings);
         let params = Rc::new(settings.params.clone());
         let mut rng = StdRng::seed_from_u64(seed);
@@ -271,6 +272,7 @@
         Node {
             record: LeaderRecord { node: settings.node.clone(), run },
             place,
+            epoch,
             peers: settings
                 .peers
                 .iter()
@@ -773,7 +775,8 @@
         // Answers of the cloud are of use to the same knowledge that asked.
         self.reign += u64::from(know.is_none());
         let salt = self.rng.random();
-        self.leader = Some(Leader::new(&self.world, token, now, self.params.clone(), salt, know));
+        self.leader =
+            Some(Leader::new(&self.world, token, now, self.epoch, self.params.clone(), salt, know));
     }
 
     // ---- the cloud ------------------------------------------------------
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -16,7 +16,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -49,6 +49,7 @@
 pub async fn run(settings: Settings, seed: u64) -> io::Result<()> {
     let users = TcpListener::bind(settings.listen).await?;
     let peers = TcpListener::bind(settings.peer_listen).await?;
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
     let mesh = settings
         .peers
         .iter()
@@ -66,7 +67,7 @@
         cloud: Client::new(settings.services.cloud, 4),
         mesh,
         workers: RefCell::default(),
-        node: RefCell::new(Node::new(settings.clone(), seed)),
+        node: RefCell::new(Node::new(settings.clone(), seed, epoch)),
     });
     tracing::info!(node = settings.node, listen = %settings.listen, "started");
     let limits = Limits::for_sockets(settings.params.limits.max_connections);
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -21,6 +21,8 @@
     pub spec: Rc<JobSpec>,
     /// Version of its key; orders jobs by acceptance.
     pub version: u64,
+    /// Time of day at which it was accepted, in seconds.
+    pub accepted_at: Option<f64>,
 }
 
 /// The store, typed.
@@ -75,7 +77,11 @@
         if let Some(name) = key.strip_prefix(keys::JOB) {
             let Ok(id) = name.parse::<JobId>() else { return Topic::Other };
             let stored = change.now.as_ref().and_then(|(value, version)| {
-                Some(StoredJob { spec: Rc::new(read(key, value)?), version: *version })
+                Some(StoredJob {
+                    spec: Rc::new(read(key, value)?),
+                    version: *version,
+                    accepted_at: value.get(keys::ACCEPTED_AT).and_then(Value::as_f64),
+                })
             });
             match stored {
                 Some(stored) => self.jobs.insert(id.clone(), stored),
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -260,7 +260,7 @@
         slot.incarnation += 1;
         slot.started = self.now;
         slot.replies.clear();
-        slot.node = Some(Node::new(slot.settings.clone(), seed));
+        slot.node = Some(Node::new(slot.settings.clone(), seed, slot.started));
         let incarnation = slot.incarnation;
         self.tick(node, incarnation);
     }
