--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -25,7 +25,7 @@
 type Shelf = (u32, u32, bool);
 
 /// What the leader knows of the cloud.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Fleet {
     deleted: HashMap<String, f64>,
     empty_until: HashMap<Shelf, f64>,
@@ -45,25 +45,6 @@
     not_before: f64,
 }
 
-impl Default for Fleet {
-    fn default() -> Self {
-        Fleet {
-            deleted: HashMap::new(),
-            empty_until: HashMap::new(),
-            sizers: HashMap::new(),
-            rent: None,
-            wanted: Vec::new(),
-            flying: BTreeSet::new(),
-            types_at: None,
-            list_at: None,
-            list: Vec::new(),
-            reached_since: BTreeMap::new(),
-            counter: 0,
-            not_before: 0.0,
-        }
-    }
-}
-
 const TYPES: u8 = 0;
 const RENT: u8 = 1;
 const DELETE: u8 = 2;
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -252,7 +252,6 @@
     pub(crate) name: String,
     pub(crate) heard_at: Option<f64>,
     pub(crate) contact_ms: u32,
-    hears: u32,
 }
 
 impl Node {
@@ -822,7 +821,6 @@
                 if let Some(peer) = self.peers.iter_mut().find(|peer| peer.name == name) {
                     peer.heard_at = Some(now);
                     peer.contact_ms = hello.contact_ms.get();
-                    peer.hears = hello.hears.get();
                 }
             }
             Kind::Relay => {
@@ -897,12 +895,7 @@
         if now - self.hello_at >= 1.0 {
             self.hello_at = now;
             let contact = self.contact.map_or(u32::MAX, |at| ((now - at) * 1000.0) as u32);
-            let hears = self.leader.as_ref().map_or(0, |leader| leader.heard(now, 5.0).0 as u32);
-            let hello = Hello {
-                token: self.world.token.into(),
-                contact_ms: contact.into(),
-                hears: hears.into(),
-            };
+            let hello = Hello { contact_ms: contact.into() };
             for peer in 0..self.peers.len() {
                 self.send(peer, Kind::Hello, 0, 0, hello.as_bytes());
             }
--- a/crates/gladekeel-sched/src/intern.rs
+++ b/crates/gladekeel-sched/src/intern.rs
@@ -40,11 +40,6 @@
         &self.names[index as usize]
     }
 
-    /// How many names there are.
-    pub fn len(&self) -> usize {
-        self.names.len()
-    }
-
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.names.is_empty()
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -87,15 +87,13 @@
     pub overdue: bool,
 }
 
-/// A task to place: a job, a machine and how many.
+/// A task to place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
     /// The job.
     pub job: usize,
     /// The machine.
     pub machine: usize,
-    /// Whether it is one of the job's restarts.
-    pub restart: bool,
 }
 
 /// Everything that a round looks at. Placing changes it as it goes.
@@ -293,7 +291,7 @@
         let Some(machine) = best else { return false };
         let restart = restart || job.restarts == job.pending;
         self.take(index, machine, restart);
-        placed.push(Placement { job: index, machine, restart });
+        placed.push(Placement { job: index, machine });
         true
     }
 
@@ -483,7 +481,7 @@
         machines[0].free = room(16.0);
         let mut round = round(machines, vec![team(0.0, 1000.0)], jobs);
         let placed = round.place(&Hopper::default());
-        assert_eq!(placed, [Placement { job: 1, machine: 0, restart: true }]);
+        assert_eq!(placed, [Placement { job: 1, machine: 0 }]);
     }
 
     #[test]
--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -11,7 +11,6 @@
 #[derive(Debug, Clone)]
 struct Place {
     machine: String,
-    machine_type: String,
     zone: String,
 }
 
@@ -151,11 +150,10 @@
         if wrong {
             self.broke("wrong_place", format!("{now:.2}: {task} on {machine} in {zone}"));
         }
-        self.on.entry(task.clone()).or_default().push(Place {
-            machine: machine.to_owned(),
-            machine_type: machine_type.to_owned(),
-            zone: zone.to_owned(),
-        });
+        self.on
+            .entry(task.clone())
+            .or_default()
+            .push(Place { machine: machine.to_owned(), zone: zone.to_owned() });
         self.check_quota(now, &spec.team);
         self.check_cancelled(now);
     }
@@ -207,11 +205,6 @@
         }
     }
 
-    /// Tasks on machines of a certain type, for expectations.
-    pub fn on_type(&self, machine_type: &str) -> usize {
-        self.on.values().flatten().filter(|place| place.machine_type == machine_type).count()
-    }
-
     /// What the user of a job was told last.
     pub fn last(&self, id: &JobId) -> Option<JobState> {
         self.told.get(id).and_then(|told| told.last)
--- a/crates/gladekeel-wire/src/mesh.rs
+++ b/crates/gladekeel-wire/src/mesh.rs
@@ -62,12 +62,8 @@
 )]
 #[repr(C)]
 pub struct Hello {
-    /// Highest token that it has seen as current.
-    pub token: U64,
     /// Milliseconds since its last contact with the state service; all ones for never.
     pub contact_ms: U32,
-    /// Machines that reported to it within the last few seconds.
-    pub hears: U32,
 }
 
 impl Header {
