Hurried jobs take machines that have their image, making room there if need be

Changed: a job whose class has a wait aim shorter than its fetch is placed on machines that have the image, stopping tasks that save there, for half of the aim's time.

--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -410,6 +410,15 @@
         needs
     }
 
+    /// How long a machine fetches the job's image.
+    pub(super) fn fetch_s(&self, job: &super::Job) -> f64 {
+        let rate = self
+            .kind_for(job)
+            .and_then(|(kind, _)| self.catalog.machine_type(kind))
+            .map_or(1.0, |t| t.fetch_gb_per_s);
+        job.spec.image_gb / rate.max(0.01)
+    }
+
     /// How long a task of the job runs: the owner's estimate, put right by what
     /// its class has shown.
     fn expected_run(&self, job: &super::Job) -> f64 {
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -181,6 +181,8 @@
     pub failed_on: BTreeSet<u32>,
     /// Not placed before this time.
     pub hold_until: f64,
+    /// No longer waits for machines that have its image: none could be freed.
+    pub unhurried: bool,
 }
 
 impl Job {
@@ -214,6 +216,7 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             hold_until: 0.0,
+            unhurried: false,
             spec,
         }
     }
@@ -283,6 +286,19 @@
         self.spec.deadline_s.or(aim).unwrap_or(4.0 * run_s)
     }
 
+    /// Whether it should start sooner than its image can be fetched, by the users'
+    /// aim for its class, and still may if a machine that has the image takes it.
+    pub fn hurried(&self, params: &Params, fetch_s: f64, now: f64) -> bool {
+        let aims = params
+            .objectives
+            .iter()
+            .filter(|aim| aim.kind == "wait" && aim.class.as_deref() == Some(&self.spec.class));
+        let within = aims.filter_map(|aim| aim.within_s).min_by(f64::total_cmp);
+        !self.unhurried
+            && within
+                .is_some_and(|within| fetch_s > 0.6 * within && now - self.known_at < 0.5 * within)
+    }
+
     /// How long a task may take to save when it is stopped.
     pub fn grace(&self, why: StopWhy) -> f64 {
         // Room made for others is wanted at once, and the victim was chosen for how
@@ -357,6 +373,8 @@
     pub direct_flying: bool,
     /// Images that it should have, oldest use first, with sizes.
     pub images: Vec<(u32, f64)>,
+    /// Images of them that a task has run with.
+    pub ready: BTreeSet<u32>,
 }
 
 impl Machine {
@@ -389,6 +407,7 @@
             open_starts: BTreeMap::new(),
             direct_flying: false,
             images: Vec::new(),
+            ready: BTreeSet::new(),
         }
     }
 
@@ -433,7 +452,9 @@
         self.images.push((image, size));
         let mut total: f64 = self.images.iter().map(|(_, size)| size).sum();
         while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+            let (oldest, size) = self.images.remove(0);
+            self.ready.remove(&oldest);
+            total -= size;
         }
     }
 }
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -139,7 +139,16 @@
         }
         attempt.seen = Some(reported.state);
         if matches!(reported.state, TaskState::Running | TaskState::Saving) {
+            if attempt.run_since.is_none() {
+                tracing::debug!(task = %reported.task, "runs");
+            }
             attempt.run_since.get_or_insert(now);
+            let image = self.jobs.get(&attempt.job).map(|job| job.image);
+            if let (Some(image), Some(machine)) =
+                (image, self.know.machines.get_mut(&attempt.machine))
+            {
+                machine.ready.insert(image);
+            }
         }
         let ended = reported.state == TaskState::Exited;
         if ended {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -65,6 +65,7 @@
                 zone,
                 spot: machine.spot,
                 images: machine.images.iter().map(|(image, _)| *image).collect(),
+                ready: machine.ready.iter().copied().collect(),
                 open: now - machine.quiet_since < HEARD_S && now >= machine.hold_until,
             });
         }
@@ -97,6 +98,7 @@
                 spot: job.spec.spot,
                 by_zone: by_zone.remove(ix).unwrap_or_default(),
                 gang: job.spec.kind == Kind::Gang,
+                hurried: job.hurried(&self.params, self.fetch_s(job), now),
                 overdue: job.spec.kind == Kind::Gang
                     && job.waits_since.is_some_and(|since| now - since > GANG_PATIENCE_S),
             });
@@ -124,6 +126,7 @@
             .kind
             .and_then(|kind| self.catalog.machine_type(kind))
             .map_or(0.0, |machine_type| machine_type.cache_gb);
+        let cached = machine.images.iter().any(|(image, _)| *image == job.image);
         machine.used_image(job.image, job.spec.image_gb, cache);
         machine.attempts.push(id);
         machine.used += job.room;
@@ -146,7 +149,7 @@
             },
         );
         self.commits.dirty_page(page);
-        tracing::debug!(job = %job.id, index, machine = machine.name, now, "placed");
+        tracing::debug!(job = %job.id, index, machine = machine.name, cached, now, "placed");
     }
 
     /// Stops tasks that are slow on machines where everything is.
@@ -189,7 +192,13 @@
             (now >= job.hold_until && !job.pending.is_empty()).then_some(now - job.waits_since?)
         };
         let first = options.preempt_after_s.min(options.preempt_saving_after_s);
-        let waiting = |leader: &Leader, ix: u32| waited(leader, ix).is_some_and(|s| s >= first);
+        let waiting = |leader: &Leader, ix: u32| {
+            let hurried = leader
+                .jobs
+                .get(&ix)
+                .is_some_and(|job| job.hurried(&leader.params, leader.fetch_s(job), now));
+            waited(leader, ix).is_some_and(|s| s >= first || hurried)
+        };
         for job in self.jobs.values_mut().filter(|job| !job.over() && !job.pending.is_empty()) {
             job.waits_since.get_or_insert(now);
         }
@@ -240,6 +249,13 @@
                 } else {
                     place::preempt(&picture.round, &job, &victims)
                 };
+                if found.is_none()
+                    && job.hurried
+                    && let Some(job) = self.jobs.get_mut(&picture.jobs[at])
+                {
+                    job.unhurried = true;
+                    self.round_wanted = true;
+                }
                 let Some((machine, ids)) = found else {
                     break;
                 };
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -20,6 +20,8 @@
     pub spot: bool,
     /// Images that it has or fetches.
     pub images: Vec<u32>,
+    /// Images that it has for certain.
+    pub ready: Vec<u32>,
     /// Whether it takes new work now.
     pub open: bool,
 }
@@ -85,6 +87,9 @@
     pub gang: bool,
     /// A gang that has waited long: it goes first.
     pub overdue: bool,
+    /// It should start sooner than its image can be fetched, so for now only
+    /// machines that have the image will do.
+    pub hurried: bool,
 }
 
 /// A task to place.
@@ -248,7 +253,8 @@
 
     /// Whether the job's rules allow a further task on the machine.
     fn allowed(&self, job: &Job, machine: &Machine) -> bool {
-        (job.spot || !machine.spot)
+        (!job.hurried || machine.ready.contains(&job.image))
+            && (job.spot || !machine.spot)
             && job.kinds.as_ref().is_none_or(|kinds| kinds.contains(&machine.kind))
             && job.zone.is_none_or(|zone| zone == machine.zone)
             && job.by_zone.get(machine.zone as usize).copied().unwrap_or(0) < job.zone_cap
@@ -285,7 +291,8 @@
                 // A machine that has the image starts at once; then the cheap
                 // kind; then the fullest, so that whole machines stay free for
                 // large pieces or can be returned.
-                (!m.images.contains(&job.image), !m.spot, m.free.cpus)
+                let fetch = (!m.ready.contains(&job.image), !m.images.contains(&job.image));
+                (fetch, !m.spot, m.free.cpus)
             })
             .map(|(machine, _)| machine);
         let Some(machine) = best else { return false };
@@ -394,6 +401,7 @@
             zone,
             spot,
             images: Vec::new(),
+            ready: Vec::new(),
             open: true,
         }
     }
@@ -415,6 +423,7 @@
             by_zone: Vec::new(),
             gang: false,
             overdue: false,
+            hurried: false,
         }
     }
 
@@ -484,6 +493,23 @@
         assert_eq!(placed, [Placement { job: 1, machine: 0 }]);
     }
 
+    #[test]
+    fn a_hurried_job_waits_for_a_machine_with_its_image() {
+        let mut machines = vec![machine(0, false); 2];
+        machines[1].free = room(8.0);
+        machines[1].ready = vec![0];
+        let mut hurried = job(0, 8.0, 3);
+        let teams = vec![team(0.0, 1000.0)];
+        let place = |job: &Job| {
+            let mut round = round(machines.clone(), teams.clone(), vec![job.clone()]);
+            let placed = round.place(&Hopper::default());
+            [0, 1].map(|m| placed.iter().filter(|p| p.machine == m).count())
+        };
+        assert_eq!(place(&hurried), [2, 1]);
+        hurried.hurried = true;
+        assert_eq!(place(&hurried), [0, 1]);
+    }
+
     #[test]
     fn gangs_start_whole_and_overdue_ones_first() {
         let mut gang = job(0, 16.0, 4);
