--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -320,6 +320,12 @@
         }
         row("gauge", "machines", "Machines by state.", &states.into_iter().collect::<Vec<_>>());
         let (jobs, tasks) = leader.queue();
+        row(
+            "gauge",
+            "oldest_job_seconds",
+            "Age of the oldest unfinished job.",
+            &one(leader.oldest_job_s(now).unwrap_or(0.0)),
+        );
         row("gauge", "open_jobs", "Unfinished jobs.", &one(jobs as f64));
         row("gauge", "waiting_tasks", "Tasks on no machine.", &one(tasks as f64));
         out
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -475,6 +475,12 @@
             .collect()
     }
 
+    /// Age of the oldest unfinished job.
+    pub fn oldest_job_s(&self, now: f64) -> Option<f64> {
+        let open = self.jobs.values().filter(|job| !job.over());
+        open.map(|job| now - job.known_at).max_by(f64::total_cmp)
+    }
+
     /// Unfinished jobs: how many, and their tasks on no machine.
     pub fn queue(&self) -> (usize, u64) {
         let open = self.jobs.values().filter(|job| !job.over());
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -62,6 +62,10 @@
                 reported.remove(&id);
                 continue;
             }
+            if attempt.session > report.session {
+                // Held back since before the session in which it was placed.
+                continue;
+            }
             let own = reported
                 .get(&id)
                 .filter(|t| {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -70,8 +70,12 @@
             });
         }
         let mut by_zone: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        // After a takeover the zone of a machine may not be known yet; jobs whose
+        // tasks must be in certain zones relative to one another wait for it.
+        let mut zone_unknown: BTreeSet<u32> = BTreeSet::new();
         for attempt in self.attempts.values() {
             let Some(zone) = self.know.machines.get(&attempt.machine).and_then(|m| m.zone) else {
+                zone_unknown.insert(attempt.job);
                 continue;
             };
             let counts = by_zone.entry(attempt.job).or_default();
@@ -81,7 +85,8 @@
             counts[zone as usize] += 1;
         }
         for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
-            let held = now < job.hold_until;
+            let zones_matter = job.spec.one_zone || job.spec.spread;
+            let held = now < job.hold_until || (zones_matter && zone_unknown.contains(ix));
             picture.jobs.push(*ix);
             picture.round.jobs.push(place::Job {
                 team: job.team,
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -462,6 +462,11 @@
             Ok(spec) => spec,
             Err(error) => return self.reply(now, request, Reply::error(400, error.to_string())),
         };
+        let value = serde_json::to_vec(&spec).expect("wire types always serialise");
+        if value.len() + 100 > (self.params.state.value_kb * 1024.0) as usize {
+            // Such a write would be refused together with everything in its batch.
+            return self.reply(now, request, Reply::error(400, "the description is too long"));
+        }
         let id = spec.id.clone();
         if let Some(status) = self.final_status(&id) {
             return self.reply(now, request, Reply::json(200, &status));
@@ -1008,7 +1013,11 @@
             txn.guards.push(Guard { key: fate.clone(), version: 0 });
             match &write.spec {
                 Some(spec) => {
-                    let value = serde_json::to_value(&**spec).expect("wire types always serialise");
+                    let mut value =
+                        serde_json::to_value(&**spec).expect("wire types always serialise");
+                    // A later leader must know how old the job is, not since when
+                    // it has known the job.
+                    value[keys::ACCEPTED_AT] = (self.epoch + write.since).into();
                     bytes += value.to_string().len() + 400;
                     txn.guards.push(Guard { key: job.clone(), version: 0 });
                     txn.writes.push(Write::Put { key: job, value, lease: None });
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -17,6 +17,7 @@
     cloud::Cloud,
     sim::{Cut, From, Sim},
     state::{Limits, State},
+    worker::Worker,
 };
 use gladekeel_wire::{
     JobId,
@@ -353,9 +354,13 @@
             })
         }
         what @ ("hang" | "sick" | "slow") => {
-            let (count, what) = (number(at(1)?)? as usize, what.to_owned());
+            // So many machines, or those that hold tasks of a job.
+            let (who, what) = (at(1)?.to_owned(), what.to_owned());
+            let count = if who.starts_with("job-") { 0 } else { number(&who)? as usize };
             Box::new(move |sim| {
-                let names = some_workers(sim, count);
+                let holds = |w: &Worker| w.tasks.iter().any(|t| t.task.job.as_str() == who);
+                let mut names = some_workers(sim, count);
+                names.extend(sim.workers.values().filter(|w| holds(w)).map(|w| w.name.clone()));
                 let set = move |sim: &mut Sim, on: bool| {
                     for name in &names {
                         let Some(worker) = sim.workers.get_mut(name) else { continue };
@@ -424,6 +429,8 @@
         ["machines", rest @ ..] => compare("machines", sim.cloud.present().len() as f64, rest),
         ["rented", rest @ ..] => compare("rented", sim.cloud.machines.len() as f64, rest),
         ["given_up", rest @ ..] => compare("given_up", sim.given_up as f64, rest),
+        // The oldest open job, as the leader counts its age.
+        ["age", rest @ ..] => compare("age", sim.oldest_job_s().unwrap_or(0.0), rest),
         ["restarts", rest @ ..] => {
             compare("restarts", sim.leader_counts().map_or(0, |c| c.restarts) as f64, rest)
         }
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -300,6 +300,12 @@
         Some(self.nodes[node].node.as_ref()?.leader()?.counts().clone())
     }
 
+    /// Age of the oldest open job, by the leader's count.
+    pub fn oldest_job_s(&self) -> Option<f64> {
+        let slot = &self.nodes[self.leading()?];
+        slot.node.as_ref()?.leader()?.oldest_job_s(self.now - slot.started)
+    }
+
     fn tick(&mut self, node: usize, incarnation: u64) {
         if self.nodes[node].incarnation != incarnation || self.nodes[node].node.is_none() {
             return;
