One budget for all sockets of a process; calls to workers in a window

Now: connections are counted by party, users and workers each have places that nobody else takes, the longest idle connection makes room, newcomers without a place read 503 with Retry-After; connections to workers are a pool that takes what nobody else uses and drops the oldest. At most 32 calls to workers are under way besides those that hang, so that a round's commands do not hold up users. Also: a follower no longer looks at every worker that it sent on for each report.

--- a/crates/gladekeel-controller/src/checkin.rs
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -5,7 +5,7 @@
     job::JobState,
     worker::{Command, Redirect, Report, ReportAnswer, TaskState},
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// A worker that comes back within this time after being sent to the leader
 /// could not reach it.
@@ -45,13 +45,25 @@
     pub may_relay: bool,
 }
 
-/// Workers that were sent to the leader.
+/// Workers that were sent to the leader: when, and under which token.
 #[derive(Debug, Default)]
 pub struct Desk {
     sent_on: HashMap<String, (f64, u64)>,
+    /// The same in order, to forget the oldest ones.
+    order: VecDeque<(f64, String)>,
 }
 
 impl Desk {
+    fn forget_old(&mut self, now: f64) {
+        while self.order.front().is_some_and(|(at, _)| now - at >= 10.0 * TRY_LEADER_S) {
+            let Some((at, machine)) = self.order.pop_front() else { return };
+            // It may have been sent on once more since.
+            if self.sent_on.get(&machine).is_some_and(|(last, _)| *last <= at) {
+                self.sent_on.remove(&machine);
+            }
+        }
+    }
+
     /// Answers a report.
     pub fn answer(
         &mut self,
@@ -69,11 +81,12 @@
         }
         let token = standing.world.token;
         if let Some(name) = standing.leader_elsewhere {
-            self.sent_on.retain(|_, (at, _)| now - *at < 10.0 * TRY_LEADER_S);
+            self.forget_old(now);
             let tried = self.sent_on.get(&report.machine);
             let again_s = if standing.may_relay { TRY_RELAYED_S } else { TRY_LEADER_S };
             if tried.is_none_or(|(at, under)| now - at >= again_s || *under != token) {
                 self.sent_on.insert(report.machine.clone(), (now, token));
+                self.order.push_back((now, report.machine.clone()));
                 return Answer::Elsewhere(Redirect { report_to: Some(name.to_owned()) });
             }
         }
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -19,8 +19,6 @@
 
 /// After a lag of this node, for so long missing answers do not count.
 const LAG_COUNTS_S: f64 = 3.0;
-/// Machines that are asked at once whether they are there.
-const MAX_PROBES: usize = 100;
 
 /// A request to a worker.
 #[derive(Debug, Clone)]
@@ -62,7 +60,9 @@
                 return Some(call);
             }
         }
-        while self.probing < MAX_PROBES
+        // Half of the calls at most ask: those of silent machines hang, and commands to
+        // others must not wait for them.
+        while self.probing < self.max_probes
             && let Some(ix) = self.probes_wanted.pop_first()
         {
             if let Some(machine) = self.know.machines.get_mut(&ix)
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -18,6 +18,7 @@
     cloud::{CloudCall, CloudOutcome},
     log::{self, Unreadable},
     options::Options,
+    sockets::Sockets,
     world::{Counts as Display, World},
 };
 use commit::Commits;
@@ -156,8 +157,9 @@
     direct_wanted: BTreeSet<u32>,
     /// Machines that are to be asked whether they are there.
     probes_wanted: BTreeSet<u32>,
-    /// How many are being asked.
+    /// How many are being asked, and may be.
     probing: usize,
+    max_probes: usize,
     /// Machines to which a direct `run` had no answer.
     loose: BTreeSet<u32>,
     /// Jobs whose counts have changed since they were last told.
@@ -220,6 +222,7 @@
             direct_wanted: BTreeSet::new(),
             probes_wanted: BTreeSet::new(),
             probing: 0,
+            max_probes: Sockets::of(&params.limits).calls / 2,
             loose: BTreeSet::new(),
             untold: BTreeSet::new(),
             params,
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -17,3 +17,4 @@
 mod api;
 mod checkin;
 mod election;
+mod sockets;
--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -9,6 +9,7 @@
     keys::{self, LeaderRecord},
     leader::{DirectCall, DirectOutcome, Knowledge, Leader, LogRow, Start},
     options::Options,
+    sockets::Sockets,
     world::{Counts, Topic, World},
 };
 use gladekeel_store::{Bucket, Call, Change, Outcome, Replica};
@@ -53,6 +54,11 @@
 const DOWN: u32 = 2;
 /// How long a call to the cloud may take.
 const CLOUD_S: f64 = 5.0;
+/// Calls to workers that may be under way at once, besides those that hang. A round may
+/// place thousands of tasks: sent all at once, users' requests would wait behind them.
+const DIRECT_WINDOW: usize = 32;
+/// A call to a worker without an answer for this long hangs.
+const HANGS_S: f64 = 0.3;
 /// How long a direct command to a worker may take.
 const DIRECT_S: f64 = 3.0;
 /// How long a worker may take to say that it is there.
@@ -246,7 +252,7 @@
     pub(crate) world: World,
     calls: BTreeMap<CallId, (Purpose, Call, f64)>,
     cloud_calls: BTreeMap<CallId, (u64, CloudCall)>,
-    direct_calls: BTreeMap<CallId, DirectCall>,
+    direct_calls: BTreeMap<CallId, (DirectCall, f64)>,
     next_call: CallId,
     /// When the last answered reading of the store was sent.
     pub(crate) contact: Option<f64>,
@@ -271,6 +277,8 @@
     desk: Desk,
     /// Reports passed on to the leader, with what to answer if it does not.
     relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
+    /// Calls to workers that may be under way at once.
+    max_direct: usize,
     requests: Bucket,
     own_writes: Bucket,
     leader_writes: Bucket,
@@ -346,6 +354,7 @@
             spent: 0,
             desk: Desk::default(),
             relays: BTreeMap::new(),
+            max_direct: Sockets::of(&params.limits).calls,
             requests: Bucket::new(share * 0.6, share * 0.4),
             // The leader writes what has changed in few wide commits. What users ask for
             // comes in clusters, and after a crash all of it at the first node that is
@@ -379,7 +388,7 @@
             Event::State { call, outcome } => self.on_state(now, call, outcome),
             Event::Cloud { call, outcome } => self.on_cloud(now, call, outcome),
             Event::Direct { call, outcome } => {
-                if let Some(request) = self.direct_calls.remove(&call)
+                if let Some((request, _)) = self.direct_calls.remove(&call)
                     && let Some(leader) = &mut self.leader
                 {
                     leader.direct_answered(now, &request, &outcome);
@@ -389,6 +398,7 @@
             Event::Tick => self.on_tick(now),
         }
         self.pump(now);
+        self.pump_direct(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -1190,16 +1200,6 @@
                 self.call_state(now, Purpose::Lead(token), Call::Commit(txn));
             }
         }
-        let may_start = self.fresh(now);
-        while let Some(leader) = &mut self.leader
-            && let Some(request) = leader.next_direct(now, may_start)
-        {
-            let call = self.next_call;
-            self.next_call += 1;
-            self.direct_calls.insert(call, request.clone());
-            let limit_s = if request.body.is_some() { DIRECT_S } else { PROBE_S };
-            self.actions.push(Action::Direct { call, request, limit_s });
-        }
         while let Some(leader) = &mut self.leader
             && self.cloud.has(now, 1.0)
         {
@@ -1212,6 +1212,25 @@
         }
     }
 
+    /// Sends commands and questions to workers.
+    fn pump_direct(&mut self, now: f64) {
+        let may_start = self.fresh(now);
+        let recent = self.direct_calls.values().rev();
+        let mut recent = recent.take_while(|(_, at)| now - at < HANGS_S).count();
+        while recent < DIRECT_WINDOW
+            && self.direct_calls.len() < self.max_direct
+            && let Some(leader) = &mut self.leader
+            && let Some(request) = leader.next_direct(now, may_start)
+        {
+            recent += 1;
+            let call = self.next_call;
+            self.next_call += 1;
+            self.direct_calls.insert(call, (request.clone(), now));
+            let limit_s = if request.body.is_some() { DIRECT_S } else { PROBE_S };
+            self.actions.push(Action::Direct { call, request, limit_s });
+        }
+    }
+
     fn pump_sync(&mut self, now: f64) {
         if now < self.sync_not_before {
             return;
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -1,10 +1,12 @@
 //! Sockets and a clock for a [`Node`].
 
 use crate::{
+    api::Route,
     leader::{DirectCall, DirectOutcome},
     node::{Action, Event, Node, Reply, RequestId},
+    sockets::Sockets,
 };
-use gladekeel_http::{Client, ClientError, Limits, Request, Response, Server};
+use gladekeel_http::{Client, ClientError, Limits, Parties, Pool, Request, Response, Server};
 use gladekeel_store::Outcome;
 use gladekeel_wire::{
     mesh::{Header, Kind},
@@ -39,9 +41,7 @@
     state: Client,
     cloud: Client,
     mesh: Vec<mpsc::Sender<Vec<u8>>>,
-    workers: RefCell<HashMap<String, Rc<Client>>>,
-    /// Workers to which connections are kept.
-    max_workers: usize,
+    workers: Pool,
 }
 
 /// Runs a node until the process ends. Must be called inside a `LocalSet`.
@@ -58,6 +58,7 @@
             sender
         })
         .collect();
+    let sockets = Sockets::of(&settings.params.limits);
     let shell = Rc::new(Shell {
         start: Instant::now(),
         answers: RefCell::default(),
@@ -65,12 +66,21 @@
         state: Client::new(settings.services.state, 8),
         cloud: Client::new(settings.services.cloud, 4),
         mesh,
-        workers: RefCell::default(),
-        max_workers: settings.params.limits.max_connections * 2 / 5,
+        workers: Pool::new(sockets.calls),
         node: RefCell::new(Node::new(settings.clone(), seed, epoch)),
     });
     tracing::info!(node = settings.node, listen = %settings.listen, "started");
-    let limits = Limits::for_sockets(settings.params.limits.max_connections);
+    let limits = Limits {
+        // Workers are silent between reports, users between polls.
+        spare: Duration::from_secs_f64((2.0 * settings.params.workers.report_s).max(15.0)),
+        ..Limits::for_connections(sockets.served)
+    };
+    let parties = Parties {
+        kept: vec![sockets.kept_users, sockets.kept_workers],
+        of: |request| usize::from(Route::of(&request.method, &request.path) == Route::Checkin),
+    };
+    let server = Server::new(users, limits).with_parties(parties);
+    let served = server.open();
     spawn_local(hear(peers, shell.clone()));
     spawn_local({
         let shell = shell.clone();
@@ -79,11 +89,12 @@
             ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             loop {
                 ticks.tick().await;
+                shell.workers.resize(sockets.calls_beside(served.get()));
                 shell.handle(Event::Tick);
             }
         }
     });
-    Server::new(users, limits)
+    server
         .run(move |request| {
             let shell = shell.clone();
             async move { shell.answer(request).await }
@@ -154,13 +165,13 @@
 
     /// Sends commands to a worker.
     async fn command(&self, request: &DirectCall, limit: Duration) -> DirectOutcome {
-        let Some(client) = self.worker(&request.addr) else { return DirectOutcome::NotSent };
+        let Ok(addr) = request.addr.parse() else { return DirectOutcome::NotSent };
         let sent = match &request.body {
             Some(commands) => {
                 let body = serde_json::to_vec(commands).expect("wire types always serialise");
-                client.send("POST", "/do", &body, limit).await
+                self.workers.send(addr, "POST", "/do", &body, limit).await
             }
-            None => client.send("GET", "/inspect", &[], limit).await,
+            None => self.workers.send(addr, "GET", "/inspect", &[], limit).await,
         };
         match sent {
             Ok(reply) if reply.status == 200 => serde_json::from_slice(&reply.body)
@@ -171,20 +182,6 @@
         }
     }
 
-    fn worker(&self, addr: &str) -> Option<Rc<Client>> {
-        let mut workers = self.workers.borrow_mut();
-        if let Some(client) = workers.get(addr) {
-            return Some(client.clone());
-        }
-        // Machines come and go; connections to ones that are gone are not kept for ever.
-        if workers.len() >= self.max_workers {
-            workers.clear();
-        }
-        let client = Rc::new(Client::new(addr.parse().ok()?, 1));
-        workers.insert(addr.to_owned(), client.clone());
-        Some(client)
-    }
-
     async fn answer(self: Rc<Self>, request: Request) -> Response {
         let id = self.next_request.get();
         self.next_request.set(id + 1);
--- a/crates/gladekeel-http/src/lib.rs
+++ b/crates/gladekeel-http/src/lib.rs
@@ -6,6 +6,6 @@
 mod codec;
 mod server;
 
-pub use client::{Client, ClientError};
+pub use client::{Client, ClientError, Pool};
 pub use codec::{Reply, Request, Response};
-pub use server::{Limits, Server};
+pub use server::{Limits, Parties, Server};
--- a/crates/gladekeel-http/tests/loopback.rs
+++ b/crates/gladekeel-http/tests/loopback.rs
@@ -1,6 +1,6 @@
 //! The server and the client over real sockets.
 
-use gladekeel_http::{Client, ClientError, Limits, Response, Server};
+use gladekeel_http::{Client, ClientError, Limits, Parties, Pool, Response, Server};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,10 +12,14 @@
 
 /// Starts a server that answers with the request's path and body.
 async fn echo(connections: usize) -> SocketAddr {
+    serve(Limits::for_connections(connections), Parties { kept: vec![0], of: |_| 0 }).await
+}
+
+async fn serve(limits: Limits, parties: Parties) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let limits = Limits { connections, ..Limits::for_sockets(100) };
-    spawn_local(Server::new(listener, limits).run(|request| async move {
+    let server = Server::new(listener, limits).with_parties(parties);
+    spawn_local(server.run(|request| async move {
         let mut body = request.path.into_bytes();
         body.extend_from_slice(&request.body);
         Response::text(200, body)
@@ -87,7 +91,92 @@
         let addr = echo(1).await;
         let client = Client::new(addr, 1);
         client.send("GET", "/", b"", PATIENCE).await.unwrap();
-        let answer = raw(addr, b"").await;
+        let answer = raw(addr, b"GET / HTTP/1.1\r\n\r\n").await;
         assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("Retry-After"), "{answer}");
     });
 }
+
+/// Three places, one of them kept for each of the parties `/a` and `/b`.
+fn two_parties() -> Parties {
+    Parties { kept: vec![1, 1], of: |request| usize::from(request.path == "/b") }
+}
+
+#[test]
+fn no_party_locks_another_one_out() {
+    run(async {
+        for (crowd, other) in [("/a", "/b"), ("/b", "/a")] {
+            let addr = serve(Limits::for_connections(3), two_parties()).await;
+            let mut inside = Vec::new();
+            for _ in 0..2 {
+                let client = Client::new(addr, 1);
+                let reply = client.send("GET", crowd, b"", PATIENCE).await.unwrap();
+                assert_eq!(reply.status, 200);
+                inside.push(client);
+            }
+            let reply = Client::new(addr, 0).send("GET", crowd, b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, 503, "the crowd has its places");
+            let reply = Client::new(addr, 0).send("GET", other, b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, 200, "the other party has its own");
+            for client in inside {
+                let reply = client.send("GET", crowd, b"", PATIENCE).await.unwrap();
+                assert_eq!(reply.status, 200, "who is inside stays");
+            }
+        }
+    });
+}
+
+#[test]
+fn the_longest_idle_connection_makes_room() {
+    run(async {
+        let limits = Limits { spare: Duration::ZERO, ..Limits::for_connections(3) };
+        let addr = serve(limits, two_parties()).await;
+        let clients: Vec<Client> = (0..3).map(|_| Client::new(addr, 1)).collect();
+        for client in &clients {
+            let reply = client.send("GET", "/a", b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, 200);
+        }
+        // The third took the place of the first, which connects anew for that of the second.
+        for client in [&clients[2], &clients[0], &clients[2]] {
+            let reply = client.send("GET", "/a", b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, 200);
+        }
+    });
+}
+
+#[test]
+fn a_pool_holds_no_more_than_it_may() {
+    run(async {
+        let pool = Pool::new(2);
+        // Each server has one place: a connection that the pool keeps shows.
+        let mut addrs = Vec::new();
+        for _ in 0..3 {
+            addrs.push(echo(1).await);
+        }
+        for addr in &addrs {
+            let reply = pool.send(*addr, "GET", "/", b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, 200);
+        }
+        for (addr, status) in addrs.iter().zip([200, 503, 503]) {
+            let reply = Client::new(*addr, 0).send("GET", "/", b"", PATIENCE).await.unwrap();
+            assert_eq!(reply.status, status, "the oldest went, the others are kept");
+        }
+        // Servers that accept and never answer.
+        let hanging = [
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        ];
+        let hang = async |at: usize| {
+            let addr = hanging[at].local_addr().unwrap();
+            pool.send(addr, "GET", "/", b"", PATIENCE).await
+        };
+        tokio::select! {
+            biased;
+            _ = async { tokio::join!(hang(0), hang(1)) } => panic!("nobody answers"),
+            full = pool.send(addrs[0], "GET", "/", b"", PATIENCE) => {
+                assert!(matches!(full, Err(ClientError::NotSent(_))), "all are in use");
+            }
+        }
+        let reply = pool.send(addrs[0], "GET", "/", b"", PATIENCE).await.unwrap();
+        assert_eq!(reply.status, 200, "requests that were given up give their places back");
+    });
+}
--- a/crates/gladekeel-testkit/examples/playground.rs
+++ b/crates/gladekeel-testkit/examples/playground.rs
@@ -137,7 +137,7 @@
         cloud: RefCell::new(Cloud::new(types, capacity, 4.0)),
         workers: RefCell::default(),
     });
-    let limits = Limits::for_sockets(1000);
+    let limits = Limits::for_connections(1000);
     let cloud = Server::new(TcpListener::bind(("127.0.0.1", CLOUD)).await?, limits);
     let state = Server::new(TcpListener::bind(("127.0.0.1", STATE)).await?, limits);
     let (a, b) = (play.clone(), play);
@@ -265,7 +265,7 @@
         println!("{name} is up at {addr}");
         let direct = spawn_local({
             let (play, name) = (self.clone(), name.clone());
-            Server::new(listener, Limits::for_sockets(100)).run(move |request| {
+            Server::new(listener, Limits::for_connections(100)).run(move |request| {
                 let (play, name) = (play.clone(), name.clone());
                 async move { play.answer_direct(&name, addr, &request) }
             })
