No work goes to a zone of which no machine is heard

A zone of a thousand machines is known to be out of reach after seconds: thirty reports are missing.

--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting, watching and returning machines.
 
-use super::{Knowledge, Leader, Machine};
+use super::{Knowledge, Leader, Machine, ZoneView};
 use crate::{
     cloud::{CloudCall, CloudOutcome},
     options::Options,
@@ -450,6 +450,13 @@
         }
         let any_answered = answered.values().copied().fold(f64::NEG_INFINITY, f64::max);
         self.reporting = zones.values().map(|(_, all)| all).sum();
+        for (zone, (_, all)) in &zones {
+            if let Some(zone) = zone {
+                // One that was not heard of yet is given time.
+                let new = ZoneView { reporting: 0, heard_at: now };
+                self.zones.entry(*zone).or_insert(new).reporting = *all;
+            }
+        }
         let heard_any = zones.values().any(|(heard, _)| *heard > 0);
         let lease_s = self.params.workers.lease_s;
         // A zone is within reach if a machine there is heard, or if any machine is,
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -47,6 +47,11 @@
 /// Ticks come many times a second; one that is later than this is a lag.
 const LAG_S: f64 = 0.5;
 
+/// A zone of which so many reports in a row are missing is out of reach.
+const QUIET_REPORTS: f64 = 30.0;
+/// It is so after this long at the least.
+const QUIET_LEAST_S: f64 = 1.5;
+
 /// What a leader counts.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Counts {
@@ -104,6 +109,13 @@
     pub counts: Counts,
 }
 
+/// A zone as the leader hears it.
+#[derive(Debug, Default)]
+struct ZoneView {
+    reporting: usize,
+    heard_at: f64,
+}
+
 /// How a leader begins.
 #[derive(Debug)]
 pub struct Start {
@@ -149,6 +161,8 @@
     heard_at: f64,
     /// How many machines should report, as of the last look.
     reporting: usize,
+    /// The same by zone, and when any machine there was heard of.
+    zones: BTreeMap<u32, ZoneView>,
     /// Where the search for slow machines goes on.
     slow_from: u32,
     salt: u64,
@@ -216,6 +230,7 @@
             lagged_at: now,
             heard_at: now,
             reporting: 0,
+            zones: BTreeMap::new(),
             slow_from: 0,
             salt,
             fence: false,
@@ -540,6 +555,16 @@
             || self.next_attempt + 2 * u64::from(MAX_TASKS) > (self.token + 1) * ATTEMPTS_PER_TOKEN
     }
 
+    /// Whether none of a zone's machines is heard although by their number some should
+    /// be: work that is placed there now would wait behind a cut.
+    fn is_quiet(&self, zone: u32, now: f64) -> bool {
+        self.zones.get(&zone).is_some_and(|view| {
+            let workers = &self.params.workers;
+            let due_s = QUIET_REPORTS * workers.report_s / view.reporting.max(1) as f64;
+            now - view.heard_at > due_s.clamp(QUIET_LEAST_S, workers.late_s())
+        })
+    }
+
     /// Machines that should report, and how long none of them has.
     pub fn silence(&self, now: f64) -> (usize, f64) {
         (self.reporting, now - self.heard_at)
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -47,6 +47,7 @@
         machine.token = machine.token.max(report.token);
         machine.heard_at = Some(now);
         self.heard_at = now;
+        self.zones.entry(zone).or_default().heard_at = now;
         machine.quiet_since = now;
         machine.mute_since = None;
         machine.suspect_since = None;
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -8,7 +8,7 @@
     restart,
 };
 use gladekeel_wire::{job::Kind, worker::TaskState};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// One in so many machines may have tasks stopped for others in a round.
 const STOPPING: usize = 20;
@@ -66,6 +66,8 @@
             machines: Vec::new(),
         };
         let late_s = self.params.workers.late_s();
+        let zones = self.zones.keys().copied();
+        let quiet: BTreeSet<u32> = zones.filter(|zone| self.is_quiet(*zone, now)).collect();
         for (ix, machine) in &self.know.machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let Some(whole) = self.catalog.room(kind) else { continue };
@@ -74,8 +76,10 @@
             }
             picture.round.whole += whole;
             let free = whole - machine.used;
-            let open =
-                now - machine.quiet_since < late_s && now >= machine.hold_until && machine.hears();
+            let open = now - machine.quiet_since < late_s
+                && now >= machine.hold_until
+                && machine.hears()
+                && !quiet.contains(&zone);
             if !full && (!open || free.cpus <= 0 || free.memory <= 0) {
                 continue;
             }
