Answers of the cloud that come between two tokens of a leader count

Cause: a leader that takes a new token (a commit or a start without an answer) has no leader object for the time that the log is read, and threw away what the cloud answered meanwhile. Its knowledge went on to count that request as under way: no machine was ever deleted again, or no list read, as long as it led. Lost machines kept their tasks, idle ones were paid for. Ruled out, by counters in the log: machines that are not open, strikes, teams' use, proposals that are never committed. The test between_tokens fails without it.

--- a/crates/gladekeel-controller/src/node.rs
+++ b/crates/gladekeel-controller/src/node.rs
@@ -252,6 +252,8 @@
     pub(crate) world: World,
     calls: BTreeMap<CallId, (Purpose, Call, f64)>,
     cloud_calls: BTreeMap<CallId, (u64, CloudCall)>,
+    /// Answers of the cloud that came between two tokens of this node.
+    held_answers: Vec<(CloudCall, CloudOutcome)>,
     direct_calls: BTreeMap<CallId, (DirectCall, f64)>,
     next_call: CallId,
     /// When the last answered reading of the store was sent.
@@ -335,6 +337,7 @@
             world: World::default(),
             calls: BTreeMap::new(),
             cloud_calls: BTreeMap::new(),
+            held_answers: Vec::new(),
             direct_calls: BTreeMap::new(),
             next_call: 0,
             contact: None,
@@ -852,6 +855,7 @@
             Some((record, token)) if *record == self.record => *token,
             _ => {
                 self.takeover = None;
+                self.held_answers.clear();
                 if let Some(leader) = self.leader.take() {
                     tracing::warn!(token = leader.token, "no longer leading");
                 }
@@ -972,10 +976,14 @@
             }
             _ => None,
         };
-        if leader.is_some() {
+        let answers = std::mem::take(&mut self.held_answers);
+        if let Some(mut leader) = leader {
             self.spent = token;
             self.takeover = None;
-            self.leader = leader;
+            for (request, outcome) in answers {
+                leader.cloud_answered(now, &request, outcome);
+            }
+            self.leader = Some(leader);
         } else if let Some(takeover) = &mut self.takeover {
             // Placing without it would start tasks twice. Operators must look.
             tracing::error!("the log in the state service cannot be read: placing nothing");
@@ -987,10 +995,17 @@
 
     fn on_cloud(&mut self, now: f64, call: CallId, outcome: CloudOutcome) {
         let Some((reign, request)) = self.cloud_calls.remove(&call) else { return };
-        if let Some(leader) = &mut self.leader
-            && reign == self.reign
-        {
-            leader.cloud_answered(now, &request, outcome);
+        if reign != self.reign {
+            return;
+        }
+        match &mut self.leader {
+            Some(leader) => leader.cloud_answered(now, &request, outcome),
+            // Between two tokens: the knowledge that waits for the next one still counts
+            // the call as under way, and nothing else would ever end that.
+            None if self.takeover.as_ref().is_some_and(|takeover| takeover.know.is_some()) => {
+                self.held_answers.push((request, outcome));
+            }
+            None => {}
         }
     }
 
--- /dev/null
+++ b/crates/gladekeel-testkit/tests/between_tokens.rs
@@ -0,0 +1,91 @@
+//! A node by itself, between two of its tokens.
+
+use gladekeel_controller::{
+    cloud::{CloudCall, CloudOutcome},
+    keys,
+    node::{Action, Event, Node},
+};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_testkit::{
+    scenario::example_settings,
+    state::{Limits, State},
+};
+use gladekeel_wire::{
+    cloud::{MachineList, MachineType, MachineTypes},
+    state::Write,
+};
+use std::collections::VecDeque;
+
+/// A commit without an answer makes the leader take a new token, and the cloud answers
+/// after the old token and before the new one. That answer once got lost: the list, or
+/// the deletion, counted as under way for ever, and no other one followed.
+#[test]
+fn answers_of_the_cloud_between_two_tokens_count() {
+    let mut state = State::new(Limits { rps: 1000.0, write_rps: 1000.0, txn_ops: 8, value: 4096 });
+    let mut node = Node::new(example_settings(0, 1), 7, 0.0);
+    let (mut unanswered, mut leaders, mut lists) = (false, 0, 0);
+    let (mut log, mut list) = (None, None);
+    for step in 0..600 {
+        let now = f64::from(step) * 0.05;
+        let mut actions = VecDeque::from(node.handle(now, Event::Tick));
+        while let Some(action) = actions.pop_front() {
+            let event = match action {
+                Action::State { call, request, .. } => {
+                    let outcome = state.call(now, 0, &request);
+                    let types = |write: &Write| matches!(write, Write::Put { key, .. } if key == keys::TYPES);
+                    match &request {
+                        Call::Commit(txn) if !unanswered && txn.writes.iter().any(types) => {
+                            unanswered = true;
+                            Event::State { call, outcome: Outcome::Unknown }
+                        }
+                        Call::List { prefix, .. } if prefix == keys::LOG => {
+                            leaders += 1;
+                            if leaders == 2 {
+                                log = Some((call, outcome));
+                                continue;
+                            }
+                            Event::State { call, outcome }
+                        }
+                        _ => Event::State { call, outcome },
+                    }
+                }
+                Action::Cloud { call, request: CloudCall::Types, .. } => {
+                    Event::Cloud { call, outcome: CloudOutcome::Types(types()) }
+                }
+                Action::Cloud { call, request: CloudCall::List { .. }, .. } => {
+                    lists += 1;
+                    list = Some(call);
+                    continue;
+                }
+                _ => continue,
+            };
+            actions.extend(node.handle(now, event));
+        }
+        if let (Some((call, outcome)), Some(open)) = (log.take(), list) {
+            assert!(node.leader().is_none(), "between two tokens");
+            let page = MachineList { machines: Vec::new(), more: false };
+            node.handle(now, Event::Cloud { call: open, outcome: CloudOutcome::List(page) });
+            node.handle(now, Event::State { call, outcome });
+            assert!(node.leader().is_some());
+            lists = 0;
+        }
+    }
+    assert_eq!((unanswered, leaders), (true, 2));
+    assert!(lists > 0, "the machine list is never read again");
+}
+
+fn types() -> MachineTypes {
+    let machine_type = MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 2.0,
+        spot_price: None,
+        boot_s: 20.0,
+        zones: vec!["a".into()],
+    };
+    MachineTypes { types: vec![machine_type] }
+}
