--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -310,6 +310,14 @@
                 }
             })
         }
+        "freeze" => {
+            let who = at(1)?.to_owned();
+            Box::new(move |sim| {
+                for node in which(sim, &who) {
+                    sim.freeze(node, for_s);
+                }
+            })
+        }
         "cut" if at(1)? == "zone" => {
             let cut = Cut::Zones(at(2)?.into(), at(4)?.into());
             Box::new(move |sim| sim.cut(cut, for_s, hold))
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -93,6 +93,8 @@
     settings: Settings,
     incarnation: u64,
     started: f64,
+    /// It stands still until then, while its clock runs on.
+    frozen_until: f64,
     replies: HashMap<RequestId, Then>,
     next_request: RequestId,
 }
@@ -152,6 +154,7 @@
                     settings,
                     incarnation: 0,
                     started: 0.0,
+                    frozen_until: 0.0,
                     replies: HashMap::new(),
                     next_request: 0,
                 })
@@ -274,12 +277,19 @@
         let slot = &mut self.nodes[node];
         slot.incarnation += 1;
         slot.started = self.now;
+        slot.frozen_until = self.now;
         slot.replies.clear();
         slot.node = Some(Node::new(slot.settings.clone(), seed, slot.started));
         let incarnation = slot.incarnation;
         self.tick(node, incarnation);
     }
 
+    /// Lets a node stand still; what reaches it meanwhile waits.
+    pub fn freeze(&mut self, node: usize, for_s: f64) {
+        self.trouble(for_s);
+        self.nodes[node].frozen_until = self.now + for_s;
+    }
+
     /// Ends a node without notice.
     pub fn crash(&mut self, node: usize) {
         let slot = &mut self.nodes[node];
@@ -332,6 +342,10 @@
         if self.nodes[node].incarnation != incarnation || self.nodes[node].node.is_none() {
             return;
         }
+        let frozen_s = self.nodes[node].frozen_until - self.now;
+        if frozen_s > 0.0 {
+            return self.after(frozen_s, move |sim| sim.tick(node, incarnation));
+        }
         self.event(node, incarnation, Event::Tick);
         if let Some(leader) = self.nodes[node].node.as_ref().and_then(|n| n.leader()) {
             let seen = (leader.token, node);
@@ -353,6 +367,10 @@
         if slot.incarnation != incarnation {
             return;
         }
+        let frozen_s = slot.frozen_until - now;
+        if frozen_s > 0.0 {
+            return self.after(frozen_s, move |sim| sim.event(node, incarnation, event));
+        }
         let started = slot.started;
         let Some(running) = &mut slot.node else { return };
         for action in running.handle(now - started, event) {
