--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -115,6 +115,22 @@
     }
 }
 
+/// A machine type like the ones of the examples.
+pub fn example_type(zones: Vec<String>) -> MachineType {
+    MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 2.0,
+        spot_price: Some(0.7),
+        boot_s: 20.0,
+        zones,
+    }
+}
+
 type Words<'a> = BTreeMap<&'a str, &'a str>;
 
 /// Splits `key=value` words from plain ones.
@@ -162,18 +178,7 @@
         capacity.insert((zone.clone(), false), get("ordinary", 4.0)? as u32);
         capacity.insert((zone.clone(), true), get("spot", 0.0)? as u32);
     }
-    let types = vec![MachineType {
-        name: "m32".into(),
-        cpus: 32.0,
-        gpus: 0.0,
-        memory_gb: 64.0,
-        cache_gb: 20.0,
-        fetch_gb_per_s: 1.0,
-        price: 2.0,
-        spot_price: Some(0.7),
-        boot_s: get("boot", 20.0)?,
-        zones,
-    }];
+    let types = vec![MachineType { boot_s: get("boot", 20.0)?, ..example_type(zones) }];
     let state = State::new(Limits {
         rps: params.state.rps,
         write_rps: params.state.write_rps,
--- a/crates/gladekeel-testkit/tests/between_tokens.rs
+++ b/crates/gladekeel-testkit/tests/between_tokens.rs
@@ -7,11 +7,11 @@
 };
 use gladekeel_store::{Call, Outcome};
 use gladekeel_testkit::{
-    scenario::example_settings,
+    scenario::{example_settings, example_type},
     state::{Limits, State},
 };
 use gladekeel_wire::{
-    cloud::{MachineList, MachineType, MachineTypes},
+    cloud::{MachineList, MachineTypes},
     state::Write,
 };
 use std::collections::VecDeque;
@@ -49,9 +49,12 @@
                         _ => Event::State { call, outcome },
                     }
                 }
-                Action::Cloud { call, request: CloudCall::Types, .. } => {
-                    Event::Cloud { call, outcome: CloudOutcome::Types(types()) }
-                }
+                Action::Cloud { call, request: CloudCall::Types, .. } => Event::Cloud {
+                    call,
+                    outcome: CloudOutcome::Types(MachineTypes {
+                        types: vec![example_type(vec!["a".into()])],
+                    }),
+                },
                 Action::Cloud { call, request: CloudCall::List { .. }, .. } => {
                     lists += 1;
                     list = Some(call);
@@ -73,19 +76,3 @@
     assert_eq!((unanswered, leaders), (true, 2));
     assert!(lists > 0, "the machine list is never read again");
 }
-
-fn types() -> MachineTypes {
-    let machine_type = MachineType {
-        name: "m32".into(),
-        cpus: 32.0,
-        gpus: 0.0,
-        memory_gb: 64.0,
-        cache_gb: 20.0,
-        fetch_gb_per_s: 1.0,
-        price: 2.0,
-        spot_price: None,
-        boot_s: 20.0,
-        zones: vec!["a".into()],
-    };
-    MachineTypes { types: vec![machine_type] }
-}
