Cancelled tasks end in time on machines that hang, and with a leader that is cut off

Cause, from reading the code for the meetings of two troubles: the bound on leases ends what is out of reach, but a machine that hangs ends no lease; a leader that waits for a new token looked for no dead machines, for as long as an outage takes; a stop that was sent directly and lost waited for a report that may never come; and a machine that reports to nobody but answers got work that its lease then took.

- A node remembers a time at which a cancellation was not so yet (its last contact before).
What is not proven gone 15 s before cancel_s from there is deleted.
- A controller that commits a cancellation tells the others over the mesh, if their hellos show that they know the frame.
It ends work, starts nothing, answers nobody.
- Dead machines are found while a token is awaited, too; lost stops are sent again.
- New work needs a recent report, not only an answer; a machine that answers while its lease runs out is deleted.

--- a/crates/gladekeel-controller/src/checkin.rs
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -1,10 +1,7 @@
 //! Reports that reach a node: the leader's own, and those that must be sent on.
 
 use crate::{leader::Leader, world::World};
-use gladekeel_wire::{
-    job::JobState,
-    worker::{Command, Redirect, Report, ReportAnswer, TaskState},
-};
+use gladekeel_wire::worker::{Command, Redirect, Report, ReportAnswer, TaskState};
 use std::collections::{HashMap, VecDeque};
 
 /// A worker that comes back within this time after being sent to the leader
@@ -96,8 +93,7 @@
         // Nobody who could command it can be reached: keep its tasks alive, except
         // those that were cancelled.
         let cancelled = report.tasks.iter().filter(|task| {
-            task.state != TaskState::Exited
-                && standing.world.fates.get(&task.task.job) == Some(&JobState::Cancelled)
+            task.state != TaskState::Exited && standing.world.is_cancelled(&task.task.job)
         });
         let commands = cancelled
             .map(|task| Command::Stop {
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -4,7 +4,7 @@
 //! while token and session match. Until that is settled its attempt is neither
 //! released for being absent nor forgotten; a new token settles it for good.
 
-use super::{Leader, Machine, Phase};
+use super::{Leader, Machine, Phase, StopWhy};
 use gladekeel_wire::{
     TaskId,
     job::Kind,
@@ -98,7 +98,11 @@
             let gang = self.jobs[&attempt.job].spec.kind == Kind::Gang;
             let number = if gang { id - u64::from(attempt.index) } else { *id };
             if let Some(why) = attempt.stop {
-                let there = matches!(attempt.seen, Some(TaskState::Fetching | TaskState::Running));
+                let there = match attempt.seen {
+                    Some(TaskState::Fetching | TaskState::Waiting | TaskState::Running) => true,
+                    Some(TaskState::Saving) => why == StopWhy::Cancelled,
+                    _ => false,
+                };
                 if there && attempt.stop_sent == 0 {
                     attempt.stop_sent = 1;
                     let grace_s = self.jobs[&attempt.job].grace(why);
@@ -143,6 +147,16 @@
                 machine.open_starts.remove(id);
             }
         }
+        if matches!(outcome, DirectOutcome::NotSent | DirectOutcome::Unknown) {
+            // A stop may have got lost, and the report that would bring another one may
+            // never come.
+            for id in &machine.attempts {
+                if let Some(attempt) = self.attempts.get_mut(id).filter(|a| a.stop.is_some()) {
+                    attempt.stop_sent = 0;
+                    self.unstopped.insert(call.machine);
+                }
+            }
+        }
         match outcome {
             DirectOutcome::Done(report) => self.on_direct_report(now, call, report),
             // It heard.
@@ -175,6 +189,10 @@
         let Some(machine) = self.know.machines.get_mut(&call.machine) else { return };
         machine.unanswered = 0;
         machine.answered_at = Some(now);
+        machine.answers += 1;
+        if machine.reported.1 == 0 {
+            machine.reported.1 = report.session;
+        }
         machine.mute_since = None;
         machine.suspect_since = None;
         // It was reached, so it hears.
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting, watching and returning machines.
 
-use super::{Knowledge, Leader, Machine, ZoneView};
+use super::{Knowledge, Leader, Machine, Phase, ZoneView};
 use crate::{
     cloud::{CloudCall, CloudOutcome},
     options::Options,
@@ -25,6 +25,11 @@
 const ARRIVALS_S: f64 = 60.0;
 /// How often what machines cost is added up.
 const SPEND_EVERY_S: f64 = 10.0;
+/// Time that a deletion may take, with a cloud that is slow and asked for much.
+const DELETE_S: f64 = 15.0;
+/// Answers in a row to direct requests, without a report, from which on a machine whose
+/// lease has run out is taken to reach no controller. They are some seconds apart.
+const MUTE_ANSWERS: u32 = 5;
 /// A machine that boots longer than this many times the usual time does not come.
 const BOOT_MULTIPLE: f64 = 2.5;
 
@@ -418,6 +423,33 @@
         }
     }
 
+    /// Deletes machines on which tasks of a cancelled job may outlast the time they have.
+    /// Leases end most of what is out of reach in time, but a machine that hangs ends
+    /// none, and what the cloud deletes is gone for certain.
+    pub(super) fn end_cancelled(&mut self, now: f64) {
+        let workers = &self.params.workers;
+        // A new leader may not know when the user was told; the machines that it hears
+        // are given time to say that they have stopped.
+        let heard_by = self.since + workers.late_s() + 2.0;
+        let mut over = Vec::new();
+        self.ending.retain(|ix| {
+            let Some(job) = self.jobs.get(ix) else { return false };
+            if now >= heard_by.max(job.cancelled_after + workers.cancel_s - DELETE_S) {
+                let attempts = job.live.iter().filter_map(|id| self.attempts.get(id));
+                over.extend(attempts.filter(|a| a.phase == Phase::Live).map(|a| a.machine));
+            }
+            !job.live.is_empty()
+        });
+        for ix in over {
+            let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
+            if machine.delete.is_none() && !machine.gone {
+                tracing::info!(machine = machine.name, "may still run a cancelled task: deleted");
+                machine.delete = Some("may still run a cancelled task");
+                self.know.leaving.insert(ix);
+            }
+        }
+    }
+
     /// Marks machines that are dead: silent, failed to boot, taken.
     pub(super) fn find_dead(
         &mut self,
@@ -489,7 +521,13 @@
                 self.know.leaving.insert(*ix);
                 continue;
             }
-            if machine.should_report() {
+            if machine.answers >= MUTE_ANSWERS && machine.newest.0 > machine.reported.1 {
+                // It answers, but its lease has run out: nobody hears its reports, and
+                // it would lose every long task again and again.
+                tracing::info!(machine = machine.name, quiet, "reports to nobody: deleted");
+                machine.delete = Some("reports to nobody");
+                self.know.leaving.insert(*ix);
+            } else if machine.should_report() {
                 let reached = self.know.fleet.reached_since.get(&machine.zone);
                 let reached_s = reached.map_or(-1.0, |since| now - since);
                 // Silence of a whole zone may be a cut, and its machines may be at
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -178,6 +178,10 @@
     loose: BTreeSet<u32>,
     /// Jobs whose counts have changed since they were last told.
     untold: BTreeSet<u32>,
+    /// Cancelled jobs of which something may still be on a machine.
+    ending: BTreeSet<u32>,
+    /// Machines that did not get the stops that were sent to them directly.
+    unstopped: BTreeSet<u32>,
 }
 
 impl Leader {
@@ -240,6 +244,8 @@
             max_probes: Sockets::of(&params.limits).calls / 2,
             loose: BTreeSet::new(),
             untold: BTreeSet::new(),
+            ending: BTreeSet::new(),
+            unstopped: BTreeSet::new(),
             params,
         };
         leader.know.renew();
@@ -288,6 +294,9 @@
             job.known_at = (accepted - self.epoch).min(now);
         }
         job.fate = world.fates.get(id).copied();
+        job.called_off = world.called_off.contains_key(id);
+        let after = world.cancelled_after.get(id).or(world.called_off.get(id));
+        job.cancelled_after = after.copied().unwrap_or(f64::NEG_INFINITY);
         if job.fate.is_some() {
             self.commits.cleared.insert(ix);
         }
@@ -305,6 +314,11 @@
         let Some(ix) = self.job_names.get(id) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
         job.fate = world.fates.get(id).copied();
+        if !job.called_off {
+            let after = world.cancelled_after.get(id).copied();
+            job.cancelled_after = after.unwrap_or(f64::NEG_INFINITY);
+        }
+        job.called_off = false;
         if job.fate.is_some() {
             self.commits.finished.remove(&ix);
             if job.live.is_empty() {
@@ -316,6 +330,16 @@
         }
     }
 
+    /// Takes in what another controller told: a job's cancellation was committed,
+    /// some time after `after`.
+    pub fn call_off(&mut self, id: &JobId, after: f64) {
+        let Some(ix) = self.job_names.get(id) else { return };
+        let Some(job) = self.jobs.get_mut(&ix).filter(|job| !job.over()) else { return };
+        job.called_off = true;
+        job.cancelled_after = after;
+        self.stop_job(ix);
+    }
+
     /// Takes in that the store no longer has a job.
     pub fn forget_job(&mut self, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
@@ -331,6 +355,7 @@
 
     fn stop_job(&mut self, ix: u32) {
         let Some(job) = self.jobs.get(&ix) else { return };
+        self.ending.insert(ix);
         for id in &job.live {
             if let Some(attempt) = self.attempts.get_mut(id) {
                 attempt.stop = Some(StopWhy::Cancelled);
@@ -403,6 +428,7 @@
                     ended.push(*id);
                 } else if job.cancelled() {
                     attempt.stop = Some(StopWhy::Cancelled);
+                    self.ending.insert(*ix);
                 }
             }
         }
@@ -589,6 +615,15 @@
         self.ticked_at = now;
         self.watch_machines(now);
         self.fence |= self.loose_start(now);
+        // What looks at every machine is done once a round at the most. Dead machines are
+        // found also while a new token is awaited: that may take as long as an outage.
+        let upkeep = now - self.upkeep_at >= options.round_s;
+        if upkeep {
+            self.upkeep_at = now;
+            self.direct_wanted.append(&mut self.unstopped);
+            self.find_dead(now, options, zone, heard_zones);
+            self.end_cancelled(now);
+        }
         if self.fence {
             return;
         }
@@ -599,13 +634,10 @@
             self.know.counts.rounds += 1;
             self.round(now, options);
         }
-        // What looks at every machine is done once a round at the most.
-        if now - self.upkeep_at >= options.round_s {
-            self.upkeep_at = now;
+        if upkeep {
             self.restart_slow(now, options);
             self.make_room(now, options);
             self.count_spend(now);
-            self.find_dead(now, options, zone, heard_zones);
             self.size_fleet(now, options);
         }
     }
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -155,6 +155,10 @@
     pub zone: Option<u32>,
     /// Its final state, if the store has one.
     pub fate: Option<JobState>,
+    /// Another controller has committed its cancellation; the store has not told yet.
+    pub called_off: bool,
+    /// If it is cancelled: a time at which it was not so yet.
+    pub cancelled_after: f64,
     /// Finished tasks.
     pub done: Bits,
     /// Tasks restarted for slowness.
@@ -207,6 +211,8 @@
             kinds: spec.types.as_ref().map(|types| types.iter().map(|t| catalog.kind(t)).collect()),
             zone: spec.zone.as_ref().map(|zone| catalog.zones.intern(zone)),
             fate: None,
+            called_off: false,
+            cancelled_after: f64::NEG_INFINITY,
             pending: (0..spec.tasks).collect(),
             done: Bits::default(),
             restarted: Bits::default(),
@@ -229,12 +235,12 @@
 
     /// Whether it is cancelled.
     pub fn cancelled(&self) -> bool {
-        self.fate == Some(JobState::Cancelled)
+        self.fate == Some(JobState::Cancelled) || self.called_off
     }
 
     /// Whether it needs nothing more: final, or all of its tasks done.
     pub fn over(&self) -> bool {
-        self.fate.is_some() || self.done.count() == self.spec.tasks
+        self.fate.is_some() || self.called_off || self.done.count() == self.spec.tasks
     }
 
     /// Tasks that have not completed.
@@ -360,8 +366,13 @@
     pub newest: (u64, u64),
     /// Highest token that the worker said it has seen.
     pub token: u64,
-    /// When it last reported.
+    /// When it was last heard: a report, or an answer to a direct request.
     pub heard_at: Option<f64>,
+    /// When it last reported by itself, and in which session. Answers to direct
+    /// requests renew no lease.
+    pub reported: (f64, u64),
+    /// Answers to direct requests since then.
+    pub answers: u32,
     /// From when silence counts: the last report, or the takeover.
     pub quiet_since: f64,
     /// When the cloud takes it, if it said so.
@@ -428,6 +439,8 @@
             newest: (0, 0),
             token: 0,
             heard_at: None,
+            reported: (now, 0),
+            answers: 0,
             quiet_since: now,
             leaves_at: None,
             born: now,
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -80,6 +80,10 @@
     pub fn on_report(&mut self, now: f64, report: &Report, may_start: bool) -> ReportAnswer {
         let mut answer = ReportAnswer { token: self.token, commands: Vec::new() };
         let Some(ix) = self.learn_report(now, report) else { return answer };
+        if let Some(machine) = self.know.machines.get_mut(&ix) {
+            machine.reported = (now, report.session);
+            machine.answers = 0;
+        }
         // A report under our token was made after the worker saw it, so commands
         // of older tokens are dead; and since the worker has one report in flight
         // and takes answers in turn, so are our own earlier answers.
@@ -110,10 +114,11 @@
         for (attempt, task) in reported {
             self.on_stray(ix, attempt, task, settled, &mut answer.commands);
         }
+        // What may not stay goes first: an answer holds so many commands and no more.
         answer.commands.sort_by_key(|command| match command {
-            Command::Forget { .. } => 0,
-            Command::Stop { .. } => 1,
-            Command::Start { .. } => 2,
+            Command::Stop { grace_s, .. } => u8::from(*grace_s > 0.0),
+            Command::Forget { .. } => 2,
+            Command::Start { .. } => 3,
         });
         answer.commands.truncate(MAX_COMMANDS);
         if let Some(machine) = self.know.machines.get_mut(&ix) {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -76,7 +76,8 @@
             }
             picture.round.whole += whole;
             let free = whole - machine.used;
-            let open = now - machine.quiet_since < late_s
+            // One that answers and does not report will lose its tasks with its lease.
+            let open = now - machine.quiet_since.min(machine.reported.0) < late_s
                 && now >= machine.hold_until
                 && machine.hears()
                 && !quiet.contains(&zone);
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -20,7 +20,7 @@
 use gladekeel_wire::{
     JobId,
     job::JobSpec,
-    mesh::{Header, Hello, Kind},
+    mesh::{Header, Hello, Kind, LEVEL},
     settings::{Params, Settings},
     state::Row,
     worker::{Report, ReportAnswer},
@@ -80,6 +80,9 @@
 const DEAF_REPORTS: f64 = 30.0;
 /// It waits for this long at least.
 const DEAF_LEAST_S: f64 = 4.0;
+/// How long what another controller told of a cancellation is kept: its tasks are gone
+/// by then, or the store has told of it.
+const CALLED_OFF_S: f64 = 300.0;
 /// How often counts are told to the other controllers.
 const COUNTS_S: f64 = 1.0;
 
@@ -310,6 +313,8 @@
     pub(crate) contact_ms: u32,
     /// The token under which it leads, or 0.
     leads: u64,
+    /// What it understands: see [`mesh::LEVEL`](gladekeel_wire::mesh::LEVEL).
+    level: u16,
 }
 
 impl Node {
@@ -558,8 +563,11 @@
             let leads = self.leader.as_ref().map_or(0, |leader| leader.token);
             let hello = Hello { contact_ms: contact.into(), leads: leads.into() };
             for peer in 0..self.peers.len() {
-                self.send(peer, Kind::Hello, 0, 0, hello.as_bytes());
+                self.send(peer, Kind::Hello, LEVEL, 0, hello.as_bytes());
             }
+            // The store tells of them in its own time; one that it never tells of was
+            // no job of this deployment.
+            self.world.called_off.retain(|_, at| now - *at < CALLED_OFF_S);
         }
     }
 
--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -3,6 +3,7 @@
 use super::{Action, COUNTS_S, HELLO_S, Node, PeerView};
 use crate::{api::Reply, world::Counts};
 use gladekeel_wire::{
+    JobId,
     mesh::{self, Header, Hello, Kind},
     worker::Report,
 };
@@ -50,6 +51,7 @@
                     peer.heard_at = Some(now);
                     peer.contact_ms = hello.contact_ms.get();
                     peer.leads = hello.leads.get();
+                    peer.level = header.status.get();
                 }
                 // A leader that the state service no longer answers learns here that
                 // another one leads; to stop early is always safe.
@@ -86,6 +88,15 @@
                     }
                 }
             }
+            Kind::Cancelled => {
+                // The frame may have been held back, but the last reading that was
+                // answered did not tell of it.
+                let after = self.contact.unwrap_or(f64::NEG_INFINITY);
+                for id in mesh::read_jobs(payload).unwrap_or_default() {
+                    self.call_off(&id, after);
+                }
+                self.sync_wanted = true;
+            }
             Kind::Relayed => {
                 if let Some((id, ..)) = self.relays.remove(&header.call.get()) {
                     let status = header.status.get();
@@ -99,6 +110,33 @@
         }
     }
 
+    /// A job's cancellation is committed, some time after `after`; the store has not told
+    /// of it yet, and may not for long.
+    pub(super) fn call_off(&mut self, id: &JobId, after: f64) {
+        if self.world.fates.contains_key(id) {
+            return;
+        }
+        self.world.called_off.insert(id.clone(), after);
+        if let Some(leader) = &mut self.leader {
+            leader.call_off(id, after);
+        }
+    }
+
+    /// Tells the other controllers of cancellations that were committed here. A leader
+    /// that the state service refuses stops the jobs' tasks at once instead of letting
+    /// them run out with their leases; no bound depends on that it hears.
+    pub(super) fn tell_cancelled(&mut self, ids: &[JobId]) {
+        if ids.is_empty() {
+            return;
+        }
+        let payload = mesh::write_jobs(ids.iter());
+        for peer in 0..self.peers.len() {
+            if self.peers[peer].level >= 1 {
+                self.send(peer, Kind::Cancelled, 0, 0, &payload);
+            }
+        }
+    }
+
     /// Tells the other controllers how far jobs are, for display.
     pub(super) fn tell_counts(&mut self, now: f64) {
         if now - self.counts_at < COUNTS_S {
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -58,10 +58,10 @@
             }
             Outcome::Events(events) => {
                 let changes = self.replica.follow(events);
+                self.apply(now, &changes);
                 self.contact = Some(self.contact.map_or(sent_at, |at| at.max(sent_at)));
                 self.state_down = false;
                 self.lost_syncs = 0;
-                self.apply(now, &changes);
                 self.lead_or_follow(now);
                 // Everyone who came before this reading was sent is served by it.
                 let (served, waiting) = std::mem::take(&mut self.waiting)
@@ -102,8 +102,10 @@
     }
 
     pub(super) fn apply(&mut self, now: f64, changes: &[Change]) {
+        // What is new here was not so yet when the last reading before was sent.
+        let after = self.contact.unwrap_or(f64::NEG_INFINITY);
         for change in changes {
-            match self.world.apply(change) {
+            match self.world.apply(change, after) {
                 Topic::Job(id) => {
                     if let Some(leader) = &mut self.leader {
                         if change.now.is_some() {
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -160,6 +160,13 @@
         self.writes_flying -= 1;
         match outcome {
             Outcome::Committed(_) => {
+                let cancelled = writes.iter().filter(|write| write.spec.is_none());
+                let cancelled: Vec<JobId> = cancelled.map(|write| write.id.clone()).collect();
+                self.tell_cancelled(&cancelled);
+                for id in cancelled {
+                    // A leader's own reading may not come for long either.
+                    self.call_off(&id, now);
+                }
                 for write in writes {
                     let (status, state) = match write.spec {
                         Some(_) => (201, JobState::Queued),
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -32,6 +32,12 @@
     pub jobs: BTreeMap<JobId, StoredJob>,
     /// Final states, for ever.
     pub fates: HashMap<JobId, JobState>,
+    /// Jobs that are cancelled and not cleared away: the last time at which that was not
+    /// so yet, on this node's clock. Their users cannot have been told earlier.
+    pub cancelled_after: HashMap<JobId, f64>,
+    /// Jobs of which another controller told that it has committed their cancellation,
+    /// and when: it ends work, starts nothing and makes no user's answer.
+    pub called_off: HashMap<JobId, f64>,
     /// Finished and running tasks as the leader last told, for display.
     pub counts: HashMap<JobId, Counts>,
     /// Whether the store holds assignments in a layout that this version cannot read.
@@ -81,8 +87,13 @@
 }
 
 impl World {
-    /// Takes over a change of the replica.
-    pub fn apply(&mut self, change: &Change) -> Topic {
+    /// Whether a job's tasks must end, as far as this node knows.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        self.fates.get(id) == Some(&JobState::Cancelled) || self.called_off.contains_key(id)
+    }
+
+    /// Takes over a change of the replica that was made after the time `after`.
+    pub fn apply(&mut self, change: &Change, after: f64) -> Topic {
         let key = change.key.as_str();
         if let Some(name) = key.strip_prefix(keys::JOB) {
             let Ok(id) = name.parse::<JobId>() else { return Topic::Other };
@@ -95,7 +106,11 @@
             });
             match stored {
                 Some(stored) => self.jobs.insert(id.clone(), stored),
-                None => self.jobs.remove(&id),
+                None => {
+                    self.cancelled_after.remove(&id);
+                    self.called_off.remove(&id);
+                    self.jobs.remove(&id)
+                }
             };
             return Topic::Job(id);
         }
@@ -105,7 +120,10 @@
             };
             if let Some(state) = read::<JobState>(key, value) {
                 // The first final state wins, for ever.
-                self.fates.entry(id.clone()).or_insert(state);
+                let first = *self.fates.entry(id.clone()).or_insert(state);
+                if first == JobState::Cancelled && self.jobs.contains_key(&id) {
+                    self.cancelled_after.entry(id.clone()).or_insert(after);
+                }
                 self.counts.remove(&id);
             }
             return Topic::Fate(id);
--- a/crates/gladekeel-wire/src/mesh.rs
+++ b/crates/gladekeel-wire/src/mesh.rs
@@ -29,12 +29,19 @@
     Hello = 4,
     /// How far jobs are; see [`write_counts`].
     Counts = 5,
+    /// Jobs whose cancellation the sender has committed; see [`write_jobs`]. Only for
+    /// peers of [`LEVEL`] 1 or more: others end the connection over it.
+    Cancelled = 6,
 }
 
+/// What this version understands, told in the status of its hellos. The first version
+/// with a level told 0, and passes over what others tell.
+pub const LEVEL: u16 = 1;
+
 impl Kind {
     /// The kind with this number.
     pub fn from_number(number: u16) -> Option<Kind> {
-        [Kind::Nudge, Kind::Relay, Kind::Relayed, Kind::Hello, Kind::Counts]
+        [Kind::Nudge, Kind::Relay, Kind::Relayed, Kind::Hello, Kind::Counts, Kind::Cancelled]
             .into_iter()
             .find(|k| *k as u16 == number)
     }
@@ -50,7 +57,7 @@
     pub magic: U32,
     /// A [`Kind`].
     pub kind: U16,
-    /// The status of an answer, as in HTTP; 0 in requests.
+    /// The status of an answer, as in HTTP; the [`LEVEL`] in hellos; 0 in others.
     pub status: U16,
     /// Pairs an answer with its request.
     pub call: U64,
@@ -142,6 +149,16 @@
     Some(rows)
 }
 
+/// Writes a payload of [`Kind::Cancelled`]: ids, one a line.
+pub fn write_jobs<'a>(ids: impl Iterator<Item = &'a JobId>) -> Vec<u8> {
+    ids.map(JobId::as_str).collect::<Vec<&str>>().join("\n").into_bytes()
+}
+
+/// Reads such a payload, or nothing if it is not exactly one.
+pub fn read_jobs(payload: &[u8]) -> Option<Vec<JobId>> {
+    std::str::from_utf8(payload).ok()?.split('\n').map(|id| id.parse().ok()).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
