The limits that the state service will have are kept to from the first moment

`State::kept` is the one place that works out the smaller limits; segments, batches and rates follow from it. A description near the limit is looked for first, since a repeat of an accepted job must never be refused.

--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -237,8 +237,8 @@
     Poll,
     /// Answer with the job's state, or create it.
     Create { spec: Rc<JobSpec>, tries: u32 },
-    /// Answer with the job's state, or that it can never run.
-    Refuse(String),
+    /// Answer with the job's state, or why it is refused.
+    Refuse(u16, String),
     /// Cancel it.
     Cancel { tries: u32 },
     /// Answer with the job's state, or 503: the change had no answer.
@@ -322,7 +322,9 @@
     /// names the incarnation. `epoch` is the time of day at the start, in seconds.
     pub fn new(settings: Settings, seed: u64, epoch: f64) -> Node {
         let settings = Rc::new(settings);
-        let params = Rc::new(settings.params.clone());
+        let mut params = settings.params.clone();
+        params.state = params.state.kept();
+        let params = Rc::new(params);
         let mut rng = StdRng::seed_from_u64(seed);
         let run = rng.random();
         let mut names: Vec<&str> = settings.peers.iter().map(|peer| peer.node.as_str()).collect();
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -85,10 +85,8 @@
             Err(error) => return self.reply(now, request, Reply::error(400, error.to_string())),
         };
         let value = serde_json::to_vec(&spec).expect("wire types always serialise");
-        if value.len() + 100 > (self.params.state.value_kb * 1024.0) as usize {
-            // Such a write would be refused together with everything in its batch.
-            return self.reply(now, request, Reply::error(400, "the description is too long"));
-        }
+        // Such a write would be refused together with everything in its batch.
+        let too_long = value.len() + 100 > (self.params.state.value_kb * 1024.0) as usize;
         let id = spec.id.clone();
         if let Some(status) = self.final_status(&id) {
             return self.reply(now, request, Reply::json(200, &status));
@@ -99,9 +97,13 @@
         if self.world.jobs.contains_key(&id) {
             return self.wait(now, request, Some(id), Then::Poll);
         }
+        // A job that was accepted once is never refused later, so look first.
+        if too_long {
+            let then = Then::Refuse(400, "the description is too long".into());
+            return self.wait(now, request, Some(id), then);
+        }
         match api::judge(&self.params, &self.world, &spec) {
-            // A job that was accepted once is never refused later, so look first.
-            Verdict::Never(why) => self.wait(now, request, Some(id), Then::Refuse(why)),
+            Verdict::Never(why) => self.wait(now, request, Some(id), Then::Refuse(422, why)),
             Verdict::Unknown => self.later(now, request, "machine types are not known yet"),
             Verdict::Fine => {
                 let spec = Some(Rc::new(spec));
@@ -148,7 +150,9 @@
                 (Then::Create { .. } | Then::Unknown, None) => {
                     self.later(now, request, "not accepted yet");
                 }
-                (Then::Refuse(why), None) => self.reply(now, request, Reply::error(422, why)),
+                (Then::Refuse(code, why), None) => {
+                    self.reply(now, request, Reply::error(code, why));
+                }
                 (Then::Poll | Then::Cancel { .. } | Then::Settings, None) => {
                     self.reply(now, request, Reply::error(404, "no such job"));
                 }
--- a/crates/gladekeel-controller/src/options.rs
+++ b/crates/gladekeel-controller/src/options.rs
@@ -102,7 +102,13 @@
 
     #[test]
     fn values_read_back_and_ranges_hold() {
-        let workers = Workers { report_s: 10.0, lease_s: 45.0, cancel_s: 65.0 };
+        let workers = Workers {
+            report_s: 10.0,
+            lease_s: 45.0,
+            cancel_s: 65.0,
+            gang_wait_s: 30.0,
+            gang_peer_s: 4.0,
+        };
         let options = Options::new(&workers);
         assert_eq!(options.with(&options.values()), Ok(options.clone()), "defaults are in range");
         let change = |name: &str, value| options.with(&BTreeMap::from([(name.to_owned(), value)]));
--- a/crates/gladekeel-wire/src/settings.rs
+++ b/crates/gladekeel-wire/src/settings.rs
@@ -119,6 +119,21 @@
     pub lease_s: f64,
     /// Time within which a cancelled job's tasks must be gone.
     pub cancel_s: f64,
+    /// How long a task of a gang waits for the others before it gives up.
+    #[serde(default = "gang_wait_s")]
+    pub gang_wait_s: f64,
+    /// Time within which the tasks of a running gang notice that one is gone, and within
+    /// which all must hear that they are to stop.
+    #[serde(default = "gang_peer_s")]
+    pub gang_peer_s: f64,
+}
+
+fn gang_wait_s() -> f64 {
+    30.0
+}
+
+fn gang_peer_s() -> f64 {
+    4.0
 }
 
 impl Workers {
@@ -145,6 +160,37 @@
     pub value_kb: f64,
     /// Puts and deletes of a transaction.
     pub txn_ops: usize,
+    /// The limits that it will have from some moment on, which nobody announces.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Limits of the state service that are yet to come; what is not named stays.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct NextState {
+    /// Requests per second.
+    pub rps: Option<f64>,
+    /// Puts and deletes per second.
+    pub write_rps: Option<f64>,
+    /// KiB of a value.
+    pub value_kb: Option<f64>,
+    /// Puts and deletes of a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl State {
+    /// The limits to keep to: of each the smaller one, from the first moment.
+    pub fn kept(&self) -> State {
+        let next = self.next.clone().unwrap_or_default();
+        State {
+            rps: next.rps.map_or(self.rps, |next| next.min(self.rps)),
+            write_rps: next.write_rps.map_or(self.write_rps, |next| next.min(self.write_rps)),
+            value_kb: next.value_kb.map_or(self.value_kb, |next| next.min(self.value_kb)),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |next| next.min(self.txn_ops)),
+            next: None,
+        }
+    }
 }
 
 /// Limits of the cloud.
@@ -210,10 +256,15 @@
         positive(p.workers.report_s, "deployment.workers.report_s")?;
         positive(p.workers.lease_s, "deployment.workers.lease_s")?;
         positive(p.workers.cancel_s, "deployment.workers.cancel_s")?;
-        positive(p.state.rps, "deployment.state.rps")?;
-        positive(p.state.write_rps, "deployment.state.write_rps")?;
-        positive(p.state.value_kb, "deployment.state.value_kb")?;
-        require(p.state.txn_ops >= 1, "deployment.state.txn_ops", "must be at least 1")?;
+        positive(p.workers.gang_wait_s, "deployment.workers.gang_wait_s")?;
+        positive(p.workers.gang_peer_s, "deployment.workers.gang_peer_s")?;
+        for (state, name) in [(&p.state, "state"), (&p.state.kept(), "state.next")] {
+            let field = |limit: &str| format!("deployment.{name}.{limit}");
+            positive(state.rps, &field("rps"))?;
+            positive(state.write_rps, &field("write_rps"))?;
+            positive(state.value_kb, &field("value_kb"))?;
+            require(state.txn_ops >= 1, &field("txn_ops"), "must be at least 1")?;
+        }
         positive(p.cloud.rps, "deployment.cloud.rps")?;
         require(
             p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0,
@@ -254,6 +305,18 @@
         limits = { cpu_share = 0.2, ram_mb = 200.0, max_connections = 3000 }
     "#;
 
+    #[test]
+    fn limits_to_come_are_kept_to_at_once() {
+        let settings = |next: &str| {
+            let text = GOOD.replace("txn_ops = 8", &format!("txn_ops = 8{next}"));
+            toml::from_str::<Settings>(&text).unwrap().params.state
+        };
+        assert_eq!(settings("").kept(), settings(""));
+        let kept =
+            settings(", next = { value_kb = 2.0, write_rps = 99.0, txn_ops = 3, x = 1 }").kept();
+        assert_eq!((kept.value_kb, kept.write_rps, kept.txn_ops, kept.rps), (2.0, 9.0, 3, 9.0));
+    }
+
     #[test]
     fn wrong_values_are_named() {
         toml::from_str::<Settings>(GOOD).unwrap().check().unwrap();
@@ -266,6 +329,12 @@
             ("lease_s = 30.0", "lease_s = inf", "deployment.workers.lease_s"),
             ("{ rps = 9.0", "{ rps = nan", "deployment.state.rps"),
             ("txn_ops = 8", "txn_ops = 0", "deployment.state.txn_ops"),
+            ("txn_ops = 8", "txn_ops = 8, next = { rps = -1.0 }", "deployment.state.next.rps"),
+            (
+                "report_s = 3.0",
+                "report_s = 3.0, gang_peer_s = 0.0",
+                "deployment.workers.gang_peer_s",
+            ),
             ("list_lag_s = 6.0", "list_lag_s = -1.0", "deployment.cloud.list_lag_s"),
             ("max_connections = 3000", "max_connections = 3", "deployment.limits.max_connections"),
         ] {
