--- a/crates/gladekeel-testkit/src/lib.rs
+++ b/crates/gladekeel-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 //! gives the same result every time.
 
 pub mod cloud;
+pub mod gang;
 pub mod rules;
 pub mod scenario;
 pub mod sim;
--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -2,7 +2,7 @@
 
 use gladekeel_wire::{
     JobId, TaskId,
-    job::{JobSpec, JobState},
+    job::{JobSpec, JobState, Kind},
     settings::Params,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,6 +44,8 @@
     /// When the last trouble is over.
     pub calm_from: f64,
     completed: BTreeSet<TaskId>,
+    /// Tasks of gangs that began to run at this instant, by job and attempt.
+    together: BTreeMap<(JobId, u64), BTreeSet<TaskId>>,
     told: BTreeMap<JobId, Told>,
     /// Starts so far.
     pub starts: u64,
@@ -63,6 +65,7 @@
             began: BTreeMap::new(),
             calm_from: 0.0,
             completed: BTreeSet::new(),
+            together: BTreeMap::new(),
             told: BTreeMap::new(),
             starts: 0,
             broken: Vec::new(),
@@ -164,7 +167,10 @@
             let what = format!("{now:.2}: {task} on {} starts on {machine}", place.machine);
             self.broke("ran_twice", what);
         }
-        self.began.entry(task.job.clone()).or_insert(now);
+        // A gang has started when all its tasks run, not when one waits for the others.
+        if spec.kind != Kind::Gang {
+            self.began.entry(task.job.clone()).or_insert(now);
+        }
         let zoned = spec.one_zone || spec.spread;
         let others: Vec<&Place> = self
             .tasks_of(&task.job)
@@ -194,6 +200,27 @@
         self.check_cancelled(now);
     }
 
+    /// A task of a gang begins to run.
+    pub fn runs(&mut self, now: f64, task: &TaskId, attempt: u64) {
+        if !self.on.contains_key(task) {
+            self.broke("ran_alone", format!("{now:.2}: {task} runs on no machine"));
+        }
+        self.together.entry((task.job.clone(), attempt)).or_default().insert(task.clone());
+    }
+
+    /// Checks that the tasks of a gang that began to run at this instant are all of them.
+    pub fn check_together(&mut self, now: f64) {
+        for ((job, attempt), tasks) in std::mem::take(&mut self.together) {
+            let of = self.specs.get(&job).map_or(0, |spec| spec.tasks as usize);
+            if tasks.len() == of {
+                self.began.entry(job).or_insert(now);
+            } else {
+                let what = format!("{now:.2}: {} of {of} of {job}, attempt {attempt}", tasks.len());
+                self.broke("ran_alone", what);
+            }
+        }
+    }
+
     /// The tasks of a job that are on machines.
     fn tasks_of(&self, job: &JobId) -> impl Iterator<Item = (&TaskId, &Vec<Place>)> {
         let range =
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -17,13 +17,14 @@
     cloud::Cloud,
     sim::{Cut, From, Sim},
     state::{Limits, State},
-    worker::Worker,
+    worker::{Task, Worker},
 };
 use gladekeel_wire::{
     JobId,
     cloud::MachineType,
     job::{JobSpec, JobState, Kind, Priority},
     settings::Settings,
+    worker::TaskState,
 };
 use std::collections::BTreeMap;
 
@@ -40,6 +41,17 @@
 
 /// The settings of one node of the examples.
 pub fn example_settings(node: usize, nodes: usize) -> Settings {
+    settings_with(node, nodes, (30.0, 4.0), "").expect("the example settings are valid")
+}
+
+/// The example with these times of gangs, `gang_wait_s` and `gang_peer_s`, and these
+/// lines in its table `state.next`.
+pub fn settings_with(
+    node: usize,
+    nodes: usize,
+    (gang_wait_s, gang_peer_s): (f64, f64),
+    next: &str,
+) -> Result<Settings, String> {
     let mut text = format!(
         r#"
         node = "node-{node}"
@@ -65,6 +77,8 @@
         report_s = 3.0
         lease_s = 30.0
         cancel_s = 50.0
+        gang_wait_s = {gang_wait_s:?}
+        gang_peer_s = {gang_peer_s:?}
         [deployment.state]
         rps = 90.0
         write_rps = 25.0
@@ -86,7 +100,10 @@
             "[[siblings]]\nnode = \"node-{other}\"\nsite = \"{zone}\"\npeer_addr = \"127.0.0.1:81\"\n"
         ));
     }
-    toml::from_str(&text).expect("the example settings are valid")
+    if !next.is_empty() {
+        text.push_str(&format!("[deployment.state.next]\n{next}"));
+    }
+    toml::from_str(&text).map_err(|error| error.to_string())
 }
 
 /// A job like the ones of the examples.
@@ -160,8 +177,16 @@
 fn world(words: &Words<'_>) -> Result<Sim, String> {
     let get = |key: &str, default: f64| words.get(key).map_or(Ok(default), |text| number(text));
     let nodes = get("nodes", 3.0)? as usize;
+    let gang = (get("gang_wait", 30.0)?, get("gang_peer", 4.0)?);
+    // `next=value_kb:2,txn_ops:4` is the table `state.next`.
+    let next: String = words
+        .get("next")
+        .map_or(Vec::new(), |text| text.split(',').collect())
+        .iter()
+        .map(|pair| pair.replace(':', " = ") + "\n")
+        .collect();
     let mut settings: Vec<Settings> =
-        (0..nodes).map(|node| example_settings(node, nodes)).collect();
+        (0..nodes).map(|node| settings_with(node, nodes, gang, &next)).collect::<Result<_, _>>()?;
     for settings in &mut settings {
         let params = &mut settings.params;
         params.workers.report_s = get("report", params.workers.report_s)?;
@@ -191,6 +216,8 @@
     sim.late_reports = get("late_reports", 0.0)?;
     sim.step_s = get("step", sim.step_s)?;
     sim.start_twice = words.contains_key("start_twice");
+    (sim.gang_wait_s, sim.gangs.peer_s) = gang;
+    sim.gangs.alone = words.contains_key("gang_alone");
     Ok(sim)
 }
 
@@ -373,6 +400,20 @@
                 sim.after(for_s, |sim| sim.state.spoil_log(false));
             }),
             "forgets" => Box::new(|sim| sim.state.forget_history()),
+            "limits" => {
+                let given = |key: &str| words.get(key).map(|text| number(text)).transpose();
+                let (value, ops) = (given("value_kb")?, given("txn_ops")?);
+                let (writes, rps) = (given("write_rps")?, given("rps")?);
+                Box::new(move |sim| {
+                    let now = sim.state.limits();
+                    sim.state.lower(Limits {
+                        rps: rps.unwrap_or(now.rps),
+                        write_rps: writes.unwrap_or(now.write_rps),
+                        txn_ops: ops.map_or(now.txn_ops, |n| n as usize),
+                        value: value.map_or(now.value, |kb| (kb * 1024.0) as usize),
+                    });
+                })
+            }
             other => return Err(format!("the state service cannot {other}")),
         },
         "cloud" => match at(1)? {
@@ -387,6 +428,36 @@
             "empty" => Box::new(|sim| sim.cloud.capacity.values_mut().for_each(|n| *n = 0)),
             other => return Err(format!("the cloud cannot {other}")),
         },
+        // One machine that holds a task of a job: `take holder job-1 notice=3`.
+        what @ ("take" | "drain" | "hang" | "reboot") if plain.get(1) == Some(&"holder") => {
+            let (job, what) = (at(2)?.to_owned(), what.to_owned());
+            let notice = words.get("notice").map_or(Ok(0.0), |text| number(text))?;
+            Box::new(move |sim| {
+                let Some(name) = holder(sim, &job) else {
+                    return sim.rules.broke("nobody", format!("no machine holds {job}"));
+                };
+                match what.as_str() {
+                    "take" => sim.take_machine(name, notice),
+                    "drain" => {
+                        let node = sim.leading().unwrap_or(0);
+                        let path = format!("/admin/machines/{name}/drain");
+                        sim.expect_http(node, "POST", path, Vec::new(), 200);
+                    }
+                    "reboot" => sim.reboot(&name),
+                    _ => {
+                        sim.trouble(for_s);
+                        if let Some(worker) = sim.workers.get_mut(&name) {
+                            worker.hung = true;
+                        }
+                        sim.after(for_s, move |sim| {
+                            if let Some(worker) = sim.workers.get_mut(&name) {
+                                worker.hung = false;
+                            }
+                        });
+                    }
+                }
+            })
+        }
         "take" => {
             let count = number(at(1)?)? as usize;
             let notice = words.get("notice").map_or(Ok(0.0), |text| number(text))?;
@@ -440,6 +511,15 @@
     names.into_iter().take(count).map(|(_, name)| name).collect()
 }
 
+/// The last machine with a task of a job that has not ended.
+fn holder(sim: &Sim, job: &str) -> Option<String> {
+    let holds = |worker: &&Worker| {
+        let there = |t: &Task| t.task.job.as_str() == job && t.state != TaskState::Exited;
+        worker.tasks.iter().any(there)
+    };
+    sim.workers.values().rfind(holds).map(|worker| worker.name.clone())
+}
+
 fn which(sim: &Sim, who: &str) -> Vec<usize> {
     match who {
         "leader" => sim.leading().into_iter().collect(),
@@ -500,6 +580,17 @@
         ["preemptions", rest @ ..] => {
             compare("preemptions", sim.leader_counts().map_or(0, |c| c.preemptions) as f64, rest)
         }
+        // What became of a gang: how often it ran, how often a stop kept its progress,
+        // and how many seconds of progress were lost.
+        [name, "runs", rest @ ..] => {
+            compare("runs", f64::from(sim.gangs.record(&id(name)?).runs), rest)
+        }
+        [name, "saves", rest @ ..] => {
+            compare("saves", f64::from(sim.gangs.record(&id(name)?).saves), rest)
+        }
+        [name, "lost", rest @ ..] => compare("lost", sim.gangs.record(&id(name)?).lost_s, rest),
+        // Transactions refused as too large after the limits were lowered.
+        ["too_large", rest @ ..] => compare("too_large", sim.state.too_large.len() as f64, rest),
         [name, "done"] => wrong(name, JobState::Done),
         [name, "cancelled"] => wrong(name, JobState::Cancelled),
         [name, "refused"] => {
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     cloud::Cloud,
+    gang::Gangs,
     rules::Rules,
     state::State,
     worker::{Happened, Worker},
@@ -14,7 +15,7 @@
 use gladekeel_store::{Call, Outcome};
 use gladekeel_wire::{
     JobId, TaskId,
-    job::{JobSpec, JobState, JobStatus},
+    job::{JobSpec, JobState, JobStatus, Kind},
     mesh::Header,
     settings::Settings,
     worker::{Command, Direct, Redirect, ReportAnswer},
@@ -115,6 +116,11 @@
     pub cloud: Cloud,
     /// Workers that are up.
     pub workers: BTreeMap<String, Worker>,
+    /// What the tasks of gangs do together.
+    pub gangs: Gangs,
+    /// How long a task waits for the others of its gang.
+    pub gang_wait_s: f64,
+    gangs_go_on: bool,
     /// The checker.
     pub rules: Rules,
     cuts: Vec<ActiveCut>,
@@ -163,6 +169,9 @@
             state_mute: false,
             cloud,
             workers: BTreeMap::new(),
+            gangs: Gangs::new(4.0),
+            gang_wait_s: 30.0,
+            gangs_go_on: false,
             lease_s: params.workers.lease_s,
             report_s: params.workers.report_s,
             rules: Rules::new(params),
@@ -200,6 +209,7 @@
             self.now = self.now.max(at_s);
             job(self);
             self.rules.check_cancelled(self.now);
+            self.rules.check_together(self.now);
         }
         self.now = until;
     }
@@ -579,7 +589,7 @@
             }
             let room = (kind.cpus, kind.gpus, kind.memory_gb);
             let node = sim.rng.random_range(0..sim.nodes.len());
-            let worker = Worker::new(
+            let mut worker = Worker::new(
                 name.clone(),
                 machine.machine_type,
                 machine.zone,
@@ -589,6 +599,7 @@
                 sim.now,
                 node,
             );
+            worker.gang_wait_s = sim.gang_wait_s;
             sim.workers.insert(name.clone(), worker);
             sim.step_worker(name, 0.0);
         });
@@ -637,11 +648,23 @@
                 Happened::Started(task) => {
                     self.rules.started(self.now, &task, name, machine_type, zone, spot);
                 }
+                Happened::Runs(task, attempt) => self.rules.runs(self.now, &task, attempt),
                 Happened::Ended(task, completed) => self.rules.ended(&task, name, completed),
             }
         }
     }
 
+    /// Lets gangs go on; asks for nothing in worlds without one.
+    fn step_gangs(&mut self) {
+        for (name, what) in self.gangs.step(self.now, &mut self.workers) {
+            let Some(worker) = self.workers.get(&name) else { continue };
+            let (kind, zone, spot) =
+                (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
+            self.note(&name, &kind, &zone, spot, vec![what]);
+        }
+        self.after(self.step_s, Sim::step_gangs);
+    }
+
     fn step_worker(&mut self, name: String, report_at: f64) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&name) else { return };
@@ -785,6 +808,10 @@
     pub fn submit(&mut self, spec: JobSpec) {
         self.rules.submits(&spec);
         self.followed.push(spec.id.clone());
+        if spec.kind == Kind::Gang && !self.gangs_go_on {
+            self.gangs_go_on = true;
+            self.step_gangs();
+        }
         self.try_submit(spec, self.now);
     }
 
--- a/crates/gladekeel-testkit/src/state.rs
+++ b/crates/gladekeel-testkit/src/state.rs
@@ -38,6 +38,9 @@
     pub refused: Vec<usize>,
     /// What was asked of it that no client may ask.
     pub abuses: Vec<String>,
+    /// Transactions that were refused as too large, once the limits have been lowered.
+    pub too_large: Vec<String>,
+    lowered: bool,
     /// Requests over the budget.
     pub busy: u64,
     /// Puts and deletes that were made.
@@ -61,12 +64,46 @@
             down: false,
             refused: Vec::new(),
             abuses: Vec::new(),
+            too_large: Vec::new(),
+            lowered: false,
             busy: 0,
             written: 0,
             bytes: 0,
         }
     }
 
+    /// Lowers the limits, as `state.next` announces without a time. From now on what is
+    /// too large is refused; what is stored stays readable.
+    pub fn lower(&mut self, limits: Limits) {
+        if limits.write_rps != self.limits.write_rps {
+            self.writes = gladekeel_store::Bucket::new(limits.write_rps, limits.write_rps);
+        }
+        if limits.rps != self.limits.rps {
+            self.requests = gladekeel_store::Bucket::new(limits.rps, limits.rps);
+        }
+        self.limits = limits;
+        self.lowered = true;
+    }
+
+    /// The limits as they are now.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// What is too large of a transaction, if anything.
+    fn excess(&self, txn: &Txn) -> Option<String> {
+        let large = txn.writes.iter().find_map(|write| match write {
+            Write::Put { key, value, .. } if value.to_string().len() > self.limits.value => {
+                Some(format!("value of {key}"))
+            }
+            _ => None,
+        });
+        let many =
+            txn.writes.len() > self.limits.txn_ops || txn.guards.len() > 4 * self.limits.txn_ops;
+        let ops = format!("{} writes, {} guards", txn.writes.len(), txn.guards.len());
+        large.or(many.then_some(ops))
+    }
+
     /// Begins or ends an outage; after it every lease has its full time again.
     pub fn set_down(&mut self, now: f64, down: bool) {
         self.expire(now);
@@ -172,6 +209,13 @@
     }
 
     fn commit(&mut self, now: f64, txn: &Txn) -> Outcome {
+        if self.lowered
+            && let Some(what) = self.excess(txn)
+        {
+            // The client tells a 400 to a commit from no other.
+            self.too_large.push(format!("{now:.2}: {what}"));
+            return Outcome::NoLease;
+        }
         let bytes = serde_json::to_vec(txn).map_or(0, |body| body.len());
         if bytes > 64 * 1024
             || txn.writes.len() > self.limits.txn_ops
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -24,6 +24,8 @@
     pub cause: Option<Cause>,
     /// Whether it saved.
     pub saved: Option<bool>,
+    /// When it was told to stop with time enough to save, as a task of a gang.
+    pub told_at: Option<f64>,
 }
 
 /// What happened on a machine.
@@ -31,6 +33,8 @@
 pub enum Happened {
     /// A task is on the machine from now.
     Started(TaskId),
+    /// A task of a gang runs from now, under this attempt.
+    Runs(TaskId, u64),
     /// A task is no longer on the machine; whether it completed.
     Ended(TaskId, bool),
 }
@@ -78,6 +82,8 @@
     pub held: Vec<Direct>,
     /// Slowness: run times are this many times longer.
     pub slow: f64,
+    /// How long a task waits for the others of its gang.
+    pub gang_wait_s: f64,
     images: BTreeSet<String>,
 }
 
@@ -115,6 +121,7 @@
             in_flight: None,
             held: Vec::new(),
             slow: 1.0,
+            gang_wait_s: 30.0,
             images: BTreeSet::new(),
         }
     }
@@ -213,6 +220,7 @@
                             until: now + fetch,
                             cause: None,
                             saved: None,
+                            told_at: None,
                         });
                         None
                     }
@@ -227,6 +235,7 @@
                         until: f64::MAX,
                         cause: Some(cause),
                         saved: None,
+                        told_at: None,
                     });
                 }
             }
@@ -239,7 +248,13 @@
                     let saves = t.state == TaskState::Running
                         && t.spec.checkpoint_s > 0.0
                         && *grace_s >= t.spec.save_s;
-                    if saves {
+                    if saves && t.spec.kind == Kind::Gang {
+                        // It reports `running` until it exits; when it may depends on
+                        // the others.
+                        t.told_at = t.told_at.or(Some(now));
+                    } else if t.told_at.is_some() && *grace_s > 0.0 {
+                        // It is saving already.
+                    } else if saves {
                         t.state = TaskState::Saving;
                         t.until = now + t.spec.save_s;
                     } else if t.state != TaskState::Saving || *grace_s == 0.0 {
@@ -297,6 +312,13 @@
             match task.state {
                 TaskState::Fetching => {
                     self.images.insert(task.spec.image.clone());
+                    if task.spec.kind == Kind::Gang {
+                        task.state = TaskState::Waiting;
+                        task.until = now + self.gang_wait_s;
+                        happened.push(Happened::Started(task.task.clone()));
+                        self.changed = true;
+                        continue;
+                    }
                     task.state = TaskState::Running;
                     let fails = self.sick || task.spec.class == "faulty";
                     let run = if fails { 0.5 } else { task.spec.estimate_s * self.slow };
@@ -314,6 +336,11 @@
                     let done = task.cause == Some(Cause::Done);
                     happened.push(Happened::Ended(task.task.clone(), done));
                 }
+                TaskState::Waiting => {
+                    task.state = TaskState::Exited;
+                    task.cause = Some(Cause::Alone);
+                    happened.push(Happened::Ended(task.task.clone(), false));
+                }
                 _ => continue,
             }
             self.changed = true;
@@ -340,7 +367,9 @@
         let ended = self
             .tasks
             .iter()
-            .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+            .filter(|t| {
+                matches!(t.state, TaskState::Waiting | TaskState::Running | TaskState::Saving)
+            })
             .map(|t| Happened::Ended(t.task.clone(), false))
             .collect();
         self.tasks.clear();
