Scenarios of gangs: start, loss, hang, notice, zone, limits, cancellation, takeovers

New steps: take, drain, hang or reboot the holder of a job, take or hang its zone, take its machines once it is done, and a leader that ends between two transactions. New expectations: runs, attempts, saves, lost, on, too_large.

--- a/crates/gladekeel-testkit/src/gang.rs
+++ b/crates/gladekeel-testkit/src/gang.rs
@@ -15,6 +15,8 @@
 /// What became of a job's attempts.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Record {
+    /// Attempt numbers seen on machines.
+    pub attempts: BTreeSet<u64>,
     /// How often all its tasks began to run.
     pub runs: u32,
     /// How often an orderly stop kept its progress.
@@ -81,7 +83,12 @@
         let mut seats: BTreeMap<(JobId, u64), Vec<Seat>> = BTreeMap::new();
         for (name, worker) in workers.iter() {
             for (at, task) in worker.tasks.iter().enumerate() {
-                if task.spec.kind == Kind::Gang && present(task) {
+                if task.spec.kind != Kind::Gang {
+                    continue;
+                }
+                let job = self.jobs.entry(task.task.job.clone()).or_default();
+                job.attempts.insert(task.attempt);
+                if present(task) {
                     let key = (task.task.job.clone(), task.attempt);
                     seats.entry(key).or_default().push((task.task.index, name.clone(), at));
                 }
--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -228,6 +228,11 @@
         self.on.range(range)
     }
 
+    /// How many tasks of a job are on machines.
+    pub fn on_machines(&self, id: &JobId) -> usize {
+        self.tasks_of(id).map(|(_, places)| places.len()).sum()
+    }
+
     /// When a job's first task began.
     pub fn began(&self, id: &JobId) -> Option<f64> {
         self.began.get(id).copied()
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -190,6 +190,9 @@
     for settings in &mut settings {
         let params = &mut settings.params;
         params.workers.report_s = get("report", params.workers.report_s)?;
+        params.state.value_kb = get("value_kb", params.state.value_kb)?;
+        params.state.write_rps = get("write_rps", params.state.write_rps)?;
+        params.state.txn_ops = get("txn_ops", params.state.txn_ops as f64)? as usize;
         for team in &mut params.teams {
             team.cpus *= get("teams", 1.0)?;
             team.cpus_max *= get("teams", 1.0)?;
@@ -334,6 +337,11 @@
             })
         }
         "junk" => Box::new(move |sim| (0..sim.nodes()).for_each(|node| sim.send_junk(node))),
+        // Between two transactions: `crash leader commits=2 for 3`.
+        "crash" if words.contains_key("commits") => {
+            let left = number(words["commits"])? as u32;
+            Box::new(move |sim| sim.crash_after_commits = Some((left, for_s)))
+        }
         "crash" => {
             let who = at(1)?.to_owned();
             Box::new(move |sim| {
@@ -428,6 +436,46 @@
             "empty" => Box::new(|sim| sim.cloud.capacity.values_mut().for_each(|n| *n = 0)),
             other => return Err(format!("the cloud cannot {other}")),
         },
+        // Whoever holds a gang goes the moment it has completed, but for one machine:
+        // before any of these can report it.
+        "take" if plain.get(1) == Some(&"done") => {
+            let job = at(2)?.to_owned();
+            Box::new(move |sim| take_once_done(sim, job))
+        }
+        // The zone of a job's tasks goes with all its machines, or they all hang.
+        what @ ("take" | "hang") if plain.get(1) == Some(&"zone") => {
+            let (job, takes) = (at(2)?.to_owned(), what == "take");
+            Box::new(move |sim| {
+                let zone = holder(sim, &job).map(|name| sim.workers[&name].zone.clone());
+                let Some(zone) = zone else {
+                    return sim.rules.broke("nobody", format!("no machine holds {job}"));
+                };
+                let there = sim.workers.values().filter(|worker| worker.zone == zone);
+                let names: Vec<String> = there.map(|worker| worker.name.clone()).collect();
+                sim.trouble(for_s);
+                for name in names {
+                    if takes {
+                        sim.take_machine(name, 0.0);
+                        continue;
+                    }
+                    let hang = move |on: bool| {
+                        let name = name.clone();
+                        move |sim: &mut Sim| {
+                            if let Some(worker) = sim.workers.get_mut(&name) {
+                                worker.hung = on;
+                            }
+                        }
+                    };
+                    hang(true)(sim);
+                    sim.after(for_s, hang(false));
+                }
+                // What was taken must not count as free room again.
+                sim.after(0.01, move |sim| {
+                    let gone = sim.cloud.capacity.iter_mut().filter(|(key, _)| key.0 == zone);
+                    gone.for_each(|(_, count)| *count = 0);
+                });
+            })
+        }
         // One machine that holds a task of a job: `take holder job-1 notice=3`.
         what @ ("take" | "drain" | "hang" | "reboot") if plain.get(1) == Some(&"holder") => {
             let (job, what) = (at(2)?.to_owned(), what.to_owned());
@@ -511,13 +559,32 @@
     names.into_iter().take(count).map(|(_, name)| name).collect()
 }
 
-/// The last machine with a task of a job that has not ended.
+/// Takes all machines of a gang but one as soon as it has completed.
+fn take_once_done(sim: &mut Sim, job: String) {
+    let done = id(&job).is_ok_and(|id| sim.gangs.record(&id).done);
+    if !done {
+        return sim.after(0.01, move |sim| take_once_done(sim, job));
+    }
+    let holds = |w: &&Worker| w.tasks.iter().any(|t| t.task.job.as_str() == job);
+    let names: Vec<String> =
+        sim.workers.values().filter(holds).map(|worker| worker.name.clone()).collect();
+    for name in names.into_iter().skip(1) {
+        sim.take_machine(name, 0.0);
+    }
+}
+
+/// A machine with a task of a job that has not ended, one that waits if there is any.
 fn holder(sim: &Sim, job: &str) -> Option<String> {
     let holds = |worker: &&Worker| {
         let there = |t: &Task| t.task.job.as_str() == job && t.state != TaskState::Exited;
         worker.tasks.iter().any(there)
     };
-    sim.workers.values().rfind(holds).map(|worker| worker.name.clone())
+    let waits = |worker: &&Worker| {
+        let waits = |t: &Task| t.task.job.as_str() == job && t.state == TaskState::Waiting;
+        worker.tasks.iter().any(waits)
+    };
+    let found = sim.workers.values().rfind(waits).or_else(|| sim.workers.values().rfind(holds));
+    found.map(|worker| worker.name.clone())
 }
 
 fn which(sim: &Sim, who: &str) -> Vec<usize> {
@@ -589,8 +656,16 @@
             compare("saves", f64::from(sim.gangs.record(&id(name)?).saves), rest)
         }
         [name, "lost", rest @ ..] => compare("lost", sim.gangs.record(&id(name)?).lost_s, rest),
+        [name, "attempts", rest @ ..] => {
+            compare("attempts", sim.gangs.record(&id(name)?).attempts.len() as f64, rest)
+        }
+        [name, "on", rest @ ..] => compare("on", sim.rules.on_machines(&id(name)?) as f64, rest),
         // Transactions refused as too large after the limits were lowered.
-        ["too_large", rest @ ..] => compare("too_large", sim.state.too_large.len() as f64, rest),
+        ["too_large", rest @ ..] => {
+            let wrong = compare("too_large", sim.state.too_large.len() as f64, rest)?;
+            let first = sim.state.too_large.first().cloned().unwrap_or_default();
+            Ok(wrong.map(|wrong| format!("{wrong}: {first}")))
+        }
         [name, "done"] => wrong(name, JobState::Done),
         [name, "cancelled"] => wrong(name, JobState::Cancelled),
         [name, "refused"] => {
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -112,6 +112,9 @@
     pub state: State,
     /// While set, the state service carries requests out and does not answer.
     pub state_mute: bool,
+    /// The leader ends once so many more of its transactions have been made, before it
+    /// learns of the last one, and comes back after so many seconds.
+    pub crash_after_commits: Option<(u32, f64)>,
     /// The cloud.
     pub cloud: Cloud,
     /// Workers that are up.
@@ -167,6 +170,7 @@
                 .collect(),
             state,
             state_mute: false,
+            crash_after_commits: None,
             cloud,
             workers: BTreeMap::new(),
             gangs: Gangs::new(4.0),
@@ -441,6 +445,9 @@
             self.after(extra, move |sim| {
                 sim.deliver(&End::Node(node), &End::State, move |sim| {
                     let outcome = sim.state.call(sim.now, node, &request);
+                    if copy == 0 && matches!(outcome, Outcome::Committed(_)) {
+                        sim.committed(node);
+                    }
                     if sim.state_mute || copy > 0 {
                         return;
                     }
@@ -452,6 +459,18 @@
         }
     }
 
+    /// A transaction of a node has been made.
+    fn committed(&mut self, node: usize) {
+        let Some((left, for_s)) = self.crash_after_commits else { return };
+        if self.leading() != Some(node) {
+            return;
+        }
+        self.crash_after_commits = (left > 1).then_some((left - 1, for_s));
+        if left <= 1 {
+            self.restart(node, for_s);
+        }
+    }
+
     fn call_cloud(
         &mut self,
         node: usize,
