--- a/crates/gladekeel-testkit/tests/gangs.rs
+++ b/crates/gladekeel-testkit/tests/gangs.rs
@@ -9,7 +9,7 @@
 };
 use gladekeel_wire::{
     JobId, TaskId,
-    job::{JobSpec, Kind},
+    job::{JobSpec, JobState, Kind},
     state::{Guard, Txn, Write},
     worker::{Cause, Command, ReportAnswer, TaskState},
 };
@@ -451,6 +451,31 @@
     assert_eq!(names(&r), ["quota"]);
 }
 
+#[test]
+fn a_task_that_waits_after_a_cancellation_is_seen() {
+    let id: JobId = "job-1".parse().unwrap();
+    let mut r = rules(&gang(2));
+    r.started(1.0, &task(0), "n-1", "m32", "a", false);
+    r.asks_to_cancel(&id);
+    r.answer(2.0, &id, 200, Some(JobState::Cancelled), false);
+    r.check_cancelled(2.0 + 50.0);
+    assert!(names(&r).is_empty());
+    r.check_cancelled(2.1 + 50.0);
+    assert_eq!(names(&r), ["ran_cancelled"]);
+}
+
+#[test]
+fn a_gang_is_done_when_all_of_its_tasks_are() {
+    let id: JobId = "job-1".parse().unwrap();
+    for missing in [0, 1] {
+        let mut r = rules(&gang(3));
+        (missing..3).for_each(|n| r.ended(&task(n), "n-1", true));
+        r.answer(2.0, &id, 200, Some(JobState::Done), false);
+        assert_eq!(names(&r).len(), missing as usize, "{:?}", r.broken);
+        assert!(names(&r).iter().all(|rule| *rule == "not_done"));
+    }
+}
+
 #[test]
 fn tasks_that_wait_on_stand_ins_are_on_their_machines_for_the_checker() {
     let mut yard = Yard::new(2);
