Testkit: stand-ins and checks for two troubles at once

Stand-ins: transactions carried out late, a slow state service, mute machines, cancellations all at once with hanging machines or at the end of a job, odd requests, the report of a hung machine that goes out later. Checks: started_cancelled, left_waiting, cannot_run, each shown to fail in tests/rules.rs; the unit tests of the checker moved there word for word.

--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -2,7 +2,8 @@
 
 use gladekeel_wire::{
     JobId, TaskId,
-    job::{JobSpec, JobState},
+    cloud::MachineType,
+    job::{JobSpec, JobState, Kind},
     settings::Params,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,28 @@
 /// How long polls for a job may go unanswered once all troubles are over.
 const UNANSWERED_S: f64 = 75.0;
 
+/// How long after a confirmed cancellation a task may still begin, its image's fetch not
+/// counted. Such a start was in flight: its command stood in an answer to a report, which
+/// the worker drops after 4 s, or was sent directly, which is given up no later. What
+/// begins after that was started by somebody who should have known better.
+const IN_FLIGHT_S: f64 = 4.0;
+
+/// How long a job may wait beside a machine that could take it.
+const WAITING_S: f64 = 90.0;
+
+/// A machine in good order and what is free on it.
+#[derive(Debug, Clone)]
+pub struct RoomOn {
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or not.
+    pub spot: bool,
+    /// CPUs, GPUs, memory.
+    pub free: (f64, f64, f64),
+}
+
 /// What a user was told of a job.
 #[derive(Debug, Default)]
 struct Told {
@@ -33,6 +56,10 @@
 #[derive(Debug)]
 pub struct Rules {
     params: Params,
+    /// Machine types of the cloud; while there are none, nothing is said to fit none.
+    pub types: Vec<MachineType>,
+    /// Since when each job has waited beside room.
+    waiting_since: BTreeMap<JobId, f64>,
     specs: BTreeMap<JobId, JobSpec>,
     on: BTreeMap<TaskId, Vec<Place>>,
     /// What each team's tasks on machines use: CPUs and GPUs.
@@ -56,6 +83,8 @@
     pub fn new(params: Params) -> Rules {
         Rules {
             params,
+            types: Vec::new(),
+            waiting_since: BTreeMap::new(),
             specs: BTreeMap::new(),
             on: BTreeMap::new(),
             uses: BTreeMap::new(),
@@ -117,6 +146,15 @@
                     broken.push("invented");
                 }
                 told.accepted = true;
+                if status == 201 {
+                    let never = self
+                        .specs
+                        .get(id)
+                        .is_some_and(|spec| !can_run(&self.params, &self.types, spec));
+                    if never {
+                        broken.push("cannot_run");
+                    }
+                }
                 if let Some(state) = state {
                     if told.last.is_some_and(|last| last.is_final() && last != state)
                         || (state == JobState::Cancelled && !told.cancel_asked)
@@ -164,6 +202,15 @@
             let what = format!("{now:.2}: {task} on {} starts on {machine}", place.machine);
             self.broke("ran_twice", what);
         }
+        let cancelled_at = self.told.get(&task.job).and_then(|told| told.cancelled_at);
+        if let Some(at) = cancelled_at {
+            let kind = self.types.iter().find(|kind| kind.name == machine_type);
+            let rate = kind.map_or(1.0, |kind| kind.fetch_gb_per_s);
+            if now - at > IN_FLIGHT_S + spec.image_gb / rate {
+                let what = format!("{now:.2}: {task} on {machine}, cancelled at {at:.2}");
+                self.broke("started_cancelled", what);
+            }
+        }
         self.began.entry(task.job.clone()).or_insert(now);
         let zoned = spec.one_zone || spec.spread;
         let others: Vec<&Place> = self
@@ -247,133 +294,91 @@
         }
     }
 
-    /// What the user of a job was told last.
-    pub fn last(&self, id: &JobId) -> Option<JobState> {
-        self.told.get(id).and_then(|told| told.last)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::scenario::{example_job, example_settings};
-
-    fn rules() -> Rules {
-        Rules::new(example_settings(0, 1).params)
-    }
-
-    fn task(index: u32) -> TaskId {
-        TaskId { job: "job-1".parse().unwrap(), index }
-    }
-
-    fn names(rules: &Rules) -> Vec<&str> {
-        rules.broken.iter().map(|(rule, _)| *rule).collect()
+    /// Whether all tasks of a job have completed.
+    pub fn has_finished(&self, id: &JobId) -> bool {
+        let range =
+            TaskId { job: id.clone(), index: 0 }..=TaskId { job: id.clone(), index: u32::MAX };
+        let tasks = self.specs.get(id).map_or(u32::MAX, |spec| spec.tasks) as usize;
+        self.completed.range(range).count() >= tasks
     }
 
-    /// Each rule is shown to fail on a world that breaks it, and only it.
-    #[test]
-    fn every_rule_can_fail() {
-        let id: JobId = "job-1".parse().unwrap();
-        let mut spec = example_job("job-1");
-        spec.tasks = 4;
-        spec.cpus = 4.0;
-
-        let mut r = rules();
-        r.submits(&spec);
-        r.started(1.0, &task(0), "n-1", "m32", "a", false);
-        r.started(2.0, &task(0), "n-2", "m32", "a", false);
-        assert_eq!(names(&r), ["ran_twice"]);
-
-        let mut r = rules();
-        let mut large = spec.clone();
-        large.cpus = 60.0;
-        r.submits(&large);
-        for index in 0..4 {
-            r.started(1.0, &task(index), "n-1", "m32", "a", false);
+    /// Looks for jobs that wait although there is room: in calm none does so for long.
+    /// `held` are the jobs with tasks on machines, those whose image is being fetched too.
+    pub fn check_waiting(&mut self, now: f64, rooms: &[RoomOn], held: &BTreeSet<JobId>) {
+        if now < self.calm_from {
+            return self.waiting_since.clear();
         }
-        assert_eq!(names(&r), ["quota"]);
-
-        for change in [
-            (|s: &mut JobSpec| s.spot = false) as fn(&mut JobSpec),
-            |s| s.zone = Some("b".into()),
-            |s| s.types = Some(vec!["g8".into()]),
-            |s| s.one_zone = true,
-            |s| s.spread = true,
-        ] {
-            let mut r = rules();
-            let mut spec = spec.clone();
-            change(&mut spec);
-            r.submits(&spec);
-            if spec.one_zone {
-                r.started(1.0, &task(3), "n-9", "m32", "b", true);
+        let mut waiting = BTreeSet::new();
+        for (id, told) in &self.told {
+            let over = told.cancel_asked || told.last.is_none_or(JobState::is_final);
+            if !told.accepted || over || held.contains(id) {
+                continue;
             }
-            let tasks = if spec.spread { 3 } else { 1 };
-            for index in 0..tasks {
-                r.started(1.0, &task(index), "n-1", "m32", "a", true);
+            let Some(spec) = self.specs.get(id) else { continue };
+            // A job that fails everywhere is kept back for its own sake.
+            if spec.class == "faulty" || !self.has_room(spec, rooms) || self.has_finished(id) {
+                continue;
             }
-            assert_eq!(names(&r), ["wrong_place"]);
+            waiting.insert(id.clone());
         }
-
-        let mut r = rules();
-        r.submits(&spec);
-        r.asks_to_cancel(&id);
-        r.started(1.0, &task(0), "n-1", "m32", "a", false);
-        r.answer(2.0, &id, 200, Some(JobState::Cancelled), false);
-        r.check_cancelled(2.0 + r.params.workers.cancel_s);
-        assert!(names(&r).is_empty());
-        r.check_cancelled(2.1 + r.params.workers.cancel_s);
-        assert_eq!(names(&r), ["ran_cancelled"]);
-
-        let mut r = rules();
-        r.submits(&spec);
-        r.answer(1.0, &id, 404, None, false);
-        assert!(names(&r).is_empty(), "not accepted yet");
-        r.answer(1.0, &id, 201, Some(JobState::Queued), true);
-        r.answer(2.0, &id, 404, None, false);
-        r.answer(3.0, &id, 422, None, true);
-        assert_eq!(names(&r), ["forgotten", "forgotten"]);
-
-        let mut r = rules();
-        r.answer(1.0, &id, 200, Some(JobState::Queued), false);
-        assert_eq!(names(&r), ["invented"]);
-
-        let mut r = rules();
-        r.submits(&spec);
-        r.ended(&task(0), "n-1", true);
-        r.answer(1.0, &id, 200, Some(JobState::Done), false);
-        assert_eq!(names(&r), ["not_done"]);
-
-        let mut r = rules();
-        r.submits(&spec);
-        for index in 0..4 {
-            r.ended(&task(index), "n-1", true);
+        self.waiting_since.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let since = *self.waiting_since.entry(id.clone()).or_insert(now);
+            if now - since > WAITING_S {
+                self.waiting_since.insert(id.clone(), f64::MAX);
+                self.broke("left_waiting", format!("{now:.2}: {id} since {since:.2}"));
+            }
         }
-        r.answer(1.0, &id, 200, Some(JobState::Done), false);
-        assert!(names(&r).is_empty());
-        r.answer(2.0, &id, 200, Some(JobState::Running), false);
-        assert_eq!(names(&r), ["went_back"]);
-
-        let mut r = rules();
-        r.submits(&spec);
-        r.answer(1.0, &id, 200, Some(JobState::Cancelled), false);
-        assert_eq!(names(&r), ["went_back"], "its user did not cancel it");
     }
 
-    #[test]
-    fn unanswered_polls_count_once_troubles_are_over() {
-        let id: JobId = "job-1".parse().unwrap();
-        let mut r = rules();
-        r.submits(&example_job("job-1"));
-        r.answer(1.0, &id, 201, Some(JobState::Queued), true);
-        r.calm_from = 100.0;
-        for now in [50.0, 100.0, 174.0] {
-            r.answer(now, &id, 503, None, false);
+    /// Whether a job that has nothing on machines could begin now.
+    fn has_room(&self, spec: &JobSpec, rooms: &[RoomOn]) -> bool {
+        // An array begins with one task, the others with all of them.
+        let at_once = if spec.kind == Kind::Array { 1 } else { spec.tasks };
+        let (cpus, gpus) = self.uses.get(&spec.team).copied().unwrap_or_default();
+        let below = self.params.teams.iter().find(|team| team.name == spec.team).is_some_and(|t| {
+            cpus + spec.cpus * f64::from(at_once) <= t.cpus_max + 1e-6
+                && gpus + spec.gpus * f64::from(at_once) <= t.gpus_max + 1e-6
+        });
+        let mut fitting = 0;
+        for room in rooms {
+            let allowed = (!room.spot || spec.spot)
+                && spec.types.as_ref().is_none_or(|types| types.contains(&room.machine_type))
+                && spec.zone.as_ref().is_none_or(|zone| *zone == room.zone);
+            let (mut cpus, mut gpus, mut memory) = room.free;
+            while allowed
+                && fitting < at_once
+                && spec.cpus <= cpus
+                && spec.gpus <= gpus
+                && spec.memory_gb <= memory
+            {
+                fitting += 1;
+                (cpus, gpus, memory) =
+                    (cpus - spec.cpus, gpus - spec.gpus, memory - spec.memory_gb);
+            }
         }
-        assert!(names(&r).is_empty(), "75 s have not passed since");
-        r.answer(176.0, &id, 503, None, false);
-        assert_eq!(names(&r), ["unanswered"]);
-        r.answer(177.0, &id, 200, Some(JobState::Queued), false);
-        r.answer(250.0, &id, 0, None, false);
-        assert_eq!(names(&r), ["unanswered"]);
+        below && fitting >= at_once
+    }
+
+    /// What the user of a job was told last.
+    pub fn last(&self, id: &JobId) -> Option<JobState> {
+        self.told.get(id).and_then(|told| told.last)
     }
 }
+
+/// Whether a job can run at all: its team exists and its limit and some allowed machine
+/// type are large enough.
+fn can_run(params: &Params, types: &[MachineType], spec: &JobSpec) -> bool {
+    let at_once = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
+    let below = params.teams.iter().find(|team| team.name == spec.team).is_some_and(|team| {
+        spec.cpus * at_once <= team.cpus_max && spec.gpus * at_once <= team.gpus_max
+    });
+    let fits = |kind: &MachineType| {
+        spec.types.as_ref().is_none_or(|types| types.contains(&kind.name))
+            && spec.zone.as_ref().is_none_or(|zone| kind.zones.contains(zone))
+            && spec.cpus <= kind.cpus
+            && spec.gpus <= kind.gpus
+            && spec.memory_gb <= kind.memory_gb
+    };
+    below && (types.is_empty() || types.iter().any(fits))
+}
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -275,8 +275,42 @@
         }
         "cancel" => {
             let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
-            Box::new(move |sim| ids.into_iter().for_each(|id| sim.cancel(id)))
+            let through = words.get("through").map(|who| (*who).to_owned());
+            Box::new(move |sim| {
+                let nodes = through.map_or(Vec::new(), |who| which(sim, &who));
+                ids.into_iter().for_each(|id| sim.cancel_through(id, nodes.clone()));
+            })
         }
+        // `cancel_now COUNT hang=S through=WHO`: the longest running jobs, all at once.
+        "cancel_now" => {
+            let count = number(at(1)?)? as usize;
+            let hang_s = words.get("hang").map_or(Ok(0.0), |text| number(text))?;
+            let through = words.get("through").map(|who| (*who).to_owned());
+            Box::new(move |sim| {
+                let nodes = through.map_or(Vec::new(), |who| which(sim, &who));
+                sim.cancel_now(count, nodes, hang_s);
+            })
+        }
+        "cancel_at_end" => {
+            let share = number(at(1)?)?;
+            Box::new(move |sim| {
+                sim.cancel_at_end = share;
+                sim.after(for_s, |sim| sim.cancel_at_end = 0.0);
+            })
+        }
+        "late_writes" => {
+            let share = number(at(1)?)?;
+            Box::new(move |sim| {
+                sim.late_writes = share;
+                // The last one is carried out 12 s after it was sent.
+                sim.trouble(for_s + 12.0);
+                sim.after(for_s, |sim| sim.late_writes = 0.0);
+            })
+        }
+        "odd" => Box::new(move |sim| {
+            let until = sim.now + for_s;
+            sim.send_odd_requests(until);
+        }),
         "http" => {
             let (request, status) =
                 text.rsplit_once(" = ").ok_or("http METHOD PATH BODY = STATUS")?;
@@ -354,6 +388,14 @@
                     sim.state.set_down(now, false);
                 });
             }),
+            "slow" => {
+                let factor = number(at(2)?)?;
+                Box::new(move |sim| {
+                    sim.state_slow = factor;
+                    sim.trouble(for_s);
+                    sim.after(for_s, |sim| sim.state_slow = 1.0);
+                })
+            }
             "mute" => Box::new(move |sim| {
                 sim.state_mute = true;
                 sim.trouble(for_s);
@@ -404,20 +446,29 @@
                 }
             })
         }
-        what @ ("hang" | "sick" | "slow" | "deaf") => {
-            // So many machines, or those that hold tasks of a job.
+        what @ ("hang" | "sick" | "slow" | "deaf" | "mute") => {
+            // So many machines, those that hold tasks of jobs, or those of `zone:NAME`.
             let (who, what) = (at(1)?.to_owned(), what.to_owned());
-            let count = if who.starts_with("job-") { 0 } else { number(&who)? as usize };
+            let zone = who.strip_prefix("zone:").map(str::to_owned);
+            let jobs = if who.starts_with("job-") { names(&who) } else { Vec::new() };
+            let named = zone.is_some() || !jobs.is_empty();
+            let count = if named { 0 } else { number(&who)? as usize };
             Box::new(move |sim| {
-                let holds = |w: &Worker| w.tasks.iter().any(|t| t.task.job.as_str() == who);
+                let holds = |w: &Worker| {
+                    zone.as_ref().is_some_and(|zone| *zone == w.zone)
+                        || w.tasks.iter().any(|t| jobs.iter().any(|job| job == t.task.job.as_str()))
+                };
                 let mut names = some_workers(sim, count);
                 names.extend(sim.workers.values().filter(|w| holds(w)).map(|w| w.name.clone()));
+                if what == "hang" {
+                    return sim.hang(names, for_s);
+                }
                 let set = move |sim: &mut Sim, on: bool| {
                     for name in &names {
                         let Some(worker) = sim.workers.get_mut(name) else { continue };
                         match what.as_str() {
-                            "hang" => worker.hung = on,
                             "deaf" => worker.deaf = on,
+                            "mute" => worker.mute = on,
                             "sick" => worker.sick = on,
                             _ => worker.slow = if on { 20.0 } else { 1.0 },
                         }
@@ -520,8 +571,31 @@
     (text.split_whitespace().collect(), ())
 }
 
-/// Runs a scenario.
+/// Runs a scenario; one whose world names `seeds=1..4` runs with each of them.
 pub fn run(text: &str) -> Result<(), Failure> {
+    let seeds = text
+        .lines()
+        .find(|line| line.starts_with("world "))
+        .and_then(|line| line.split_whitespace().find_map(|word| word.strip_prefix("seeds=")));
+    let Some(range) = seeds else { return run_once(text) };
+    let bounds = range
+        .split_once("..")
+        .and_then(|(from, to)| Some((from.parse::<u64>().ok()?, to.parse::<u64>().ok()?)));
+    let (first, last) = bounds.ok_or_else(|| Failure::Line(1, format!("no seeds: {range}")))?;
+    let mut unmet = Vec::new();
+    for seed in first..=last {
+        let one = text.replacen(&format!("seeds={range}"), &format!("seed={seed}"), 1);
+        match run_once(&one) {
+            Err(Failure::Unmet(what)) => {
+                unmet.extend(what.into_iter().map(|what| format!("seed {seed}: {what}")));
+            }
+            other => other?,
+        }
+    }
+    if unmet.is_empty() { Ok(()) } else { Err(Failure::Unmet(unmet)) }
+}
+
+fn run_once(text: &str) -> Result<(), Failure> {
     let mut sim: Option<Sim> = None;
     let mut unmet = Vec::new();
     let mut may_break = Vec::new();
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cloud::Cloud,
-    rules::Rules,
+    rules::{RoomOn, Rules},
     state::State,
     worker::{Happened, Worker},
 };
@@ -17,12 +17,12 @@
     job::{JobSpec, JobState, JobStatus},
     mesh::Header,
     settings::Settings,
-    worker::{Command, Direct, Redirect, ReportAnswer},
+    worker::{Command, Direct, Redirect, ReportAnswer, TaskState},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 
@@ -34,6 +34,9 @@
 /// Time that a worker waits for an answer.
 const ANSWER_S: f64 = 4.0;
 
+/// Time between looks for jobs that wait beside free machines.
+const LOOK_S: f64 = 5.0;
+
 /// One end of a connection.
 #[derive(Debug, Clone, PartialEq)]
 pub enum End {
@@ -111,6 +114,12 @@
     pub state: State,
     /// While set, the state service carries requests out and does not answer.
     pub state_mute: bool,
+    /// Part of the transactions that get no answer and are carried out 2 to 12 s later.
+    pub late_writes: f64,
+    /// How many times longer requests to the state service and answers take.
+    pub state_slow: f64,
+    /// Part of the jobs that are called off at the moment at which their last task ends.
+    pub cancel_at_end: f64,
     /// The cloud.
     pub cloud: Cloud,
     /// Workers that are up.
@@ -134,6 +143,8 @@
     pub given_up: u64,
     /// Jobs that users follow.
     pub followed: Vec<JobId>,
+    /// Odd requests sent so far: each is another one.
+    odd_requests: u64,
     lease_s: f64,
     report_s: f64,
 }
@@ -161,11 +172,15 @@
                 .collect(),
             state,
             state_mute: false,
+            late_writes: 0.0,
+            state_slow: 1.0,
+            cancel_at_end: 0.0,
             cloud,
             workers: BTreeMap::new(),
             lease_s: params.workers.lease_s,
             report_s: params.workers.report_s,
             rules: Rules::new(params),
+            odd_requests: 0,
             cuts: Vec::new(),
             late_copies: 0.0,
             late_reports: 0.0,
@@ -176,9 +191,11 @@
             given_up: 0,
             followed: Vec::new(),
         };
+        sim.rules.types.clone_from(&sim.cloud.types);
         for node in 0..sim.nodes.len() {
             sim.start(node);
         }
+        sim.look_for_waiting();
         sim
     }
 
@@ -424,24 +441,54 @@
         self.after(limit_s, move |sim| {
             sim.event(node, incarnation, Event::State { call, outcome: Outcome::Unknown });
         });
+        let late = self.late_writes > 0.0
+            && matches!(request, Call::Commit(_))
+            && self.rng.random::<f64>() < self.late_writes
+            && !self.state.down
+            && !self.state.refused.contains(&node);
+        if late {
+            let after_s = self.rng.random_range(2.0..12.0);
+            return self.deliver(&End::Node(node), &End::State, move |sim| {
+                sim.after(after_s, move |sim| sim.carry_out_late(request));
+            });
+        }
         let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
         for copy in 0..copies {
             let request = request.clone();
             let extra = if copy == 0 { 0.0 } else { self.rng.random_range(0.5..20.0) };
+            let extra = extra + self.state_delay();
             self.after(extra, move |sim| {
                 sim.deliver(&End::Node(node), &End::State, move |sim| {
                     let outcome = sim.state.call(sim.now, node, &request);
                     if sim.state_mute || copy > 0 {
                         return;
                     }
-                    sim.deliver(&End::State, &End::Node(node), move |sim| {
-                        sim.event(node, incarnation, Event::State { call, outcome });
+                    let slow_s = sim.state_delay();
+                    sim.after(slow_s, move |sim| {
+                        sim.deliver(&End::State, &End::Node(node), move |sim| {
+                            sim.event(node, incarnation, Event::State { call, outcome });
+                        });
                     });
                 });
             });
         }
     }
 
+    /// What a slow state service adds to the delay of a message.
+    fn state_delay(&mut self) -> f64 {
+        if self.state_slow > 1.0 { (self.state_slow - 1.0) * self.delay() } else { 0.0 }
+    }
+
+    /// Carries out a transaction that the state service has taken long ago: its node may
+    /// be refused by now, and an outage only puts it off.
+    fn carry_out_late(&mut self, request: Call) {
+        if self.state.down {
+            return self.after(1.0, move |sim| sim.carry_out_late(request));
+        }
+        // Nobody waits for the answer.
+        self.state.call(self.now, usize::MAX, &request);
+    }
+
     fn call_cloud(
         &mut self,
         node: usize,
@@ -637,7 +684,12 @@
                 Happened::Started(task) => {
                     self.rules.started(self.now, &task, name, machine_type, zone, spot);
                 }
-                Happened::Ended(task, completed) => self.rules.ended(&task, name, completed),
+                Happened::Ended(task, completed) => {
+                    self.rules.ended(&task, name, completed);
+                    if completed && self.rules.has_finished(&task.job) {
+                        self.at_the_end(task.job);
+                    }
+                }
             }
         }
     }
@@ -653,6 +705,7 @@
                 self.direct(&name, &body);
             }
         }
+        self.send_held_report(&name);
         let Some(worker) = self.workers.get_mut(&name) else { return };
         let (machine_type, zone, spot) =
             (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
@@ -670,9 +723,38 @@
         self.after(self.step_s, move |sim| sim.step_worker(name, next));
     }
 
+    /// The report that a machine was about to send when it hung goes out when it goes on,
+    /// before newer ones or after them. Its answer is too late to count.
+    fn send_held_report(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| !w.hung && !w.mute) else {
+            return;
+        };
+        let Some((made_at, report)) = worker.held_report.take() else { return };
+        if self.now - made_at < ANSWER_S {
+            return;
+        }
+        let (node, from) = (worker.node, End::Worker(worker.zone.clone()));
+        let body = serde_json::to_vec(&report).unwrap_or_default();
+        let after_s = self.rng.random_range(0.0..3.0);
+        self.after(after_s, move |sim| {
+            sim.request(from, node, ("POST", "/checkin".into(), body), ANSWER_S, |_, _| {});
+        });
+    }
+
     fn send_report(&mut self, name: String, report: gladekeel_wire::worker::Report) {
         let Some(worker) = self.workers.get(&name) else { return };
         let (node, zone, sent_at) = (worker.node, worker.zone.clone(), self.now);
+        if worker.mute {
+            // It cannot open a connection and tries the next node.
+            let nodes = self.nodes.len();
+            return self.after(1.0, move |sim| {
+                if let Some(worker) = sim.workers.get_mut(&name) {
+                    worker.node = (node + 1) % nodes;
+                    worker.changed = true;
+                    worker.in_flight = None;
+                }
+            });
+        }
         if self.rng.random::<f64>() < self.late_reports {
             let after_s = self.rng.random_range(1.0..3.0 * self.lease_s);
             let (node, from) =
@@ -689,7 +771,7 @@
         self.request(End::Worker(zone), node, request, ANSWER_S, move |sim, reply| {
             let nodes = sim.nodes.len();
             let Some(worker) = sim.workers.get_mut(&name) else { return };
-            let reply = reply.filter(|_| !worker.deaf);
+            let reply = reply.filter(|_| !worker.deaf && !worker.mute);
             if worker.hung || worker.session != session || worker.in_flight != Some(seq) {
                 worker.in_flight = None;
                 return;
@@ -764,10 +846,21 @@
         limit_s: f64,
         then: impl FnOnce(&mut Sim, u16, Option<JobState>) + 'static,
     ) {
-        let submission = request.1 == "/api/jobs";
         let Some(node) = self.any_node() else {
             return self.after(1.0, move |sim| then(sim, 0, None));
         };
+        self.ask_node(node, id, request, limit_s, then);
+    }
+
+    fn ask_node(
+        &mut self,
+        node: usize,
+        id: JobId,
+        request: (&'static str, String, Vec<u8>),
+        limit_s: f64,
+        then: impl FnOnce(&mut Sim, u16, Option<JobState>) + 'static,
+    ) {
+        let submission = request.1 == "/api/jobs";
         self.request(End::Users, node, request, limit_s, move |sim, reply| {
             let (status, state) = match &reply {
                 None => (0, None),
@@ -820,19 +913,197 @@
 
     /// A user cancels a job and repeats until that is answered.
     pub fn cancel(&mut self, id: JobId) {
+        self.cancel_through(id, Vec::new());
+    }
+
+    /// A user cancels a job through one of these nodes, or any if there are none.
+    pub fn cancel_through(&mut self, id: JobId, through: Vec<usize>) {
         self.rules.asks_to_cancel(&id);
-        self.try_cancel(id, self.now);
+        self.try_cancel(id, through, self.now);
     }
 
-    fn try_cancel(&mut self, id: JobId, since: f64) {
-        let path = format!("/api/jobs/{id}/cancel");
-        self.ask(id.clone(), ("POST", path, Vec::new()), 5.0, move |sim, status, _| {
+    fn try_cancel(&mut self, id: JobId, through: Vec<usize>, since: f64) {
+        let request = ("POST", format!("/api/jobs/{id}/cancel"), Vec::new());
+        let job = id.clone();
+        let nodes = through.clone();
+        let then = move |sim: &mut Sim, status: u16, _| {
             if status != 200 && sim.now - since < 60.0 {
-                sim.after(1.0, move |sim| sim.try_cancel(id, since));
+                sim.after(1.0, move |sim| sim.try_cancel(job, nodes, since));
+            }
+        };
+        if through.is_empty() {
+            return self.ask(id, request, 5.0, then);
+        }
+        let node = through[self.rng.random_range(0..through.len())];
+        self.ask_node(node, id, request, 5.0, then);
+    }
+
+    /// Users call off the jobs that run and have longest to go, within a fifth of a second
+    /// and through one of these nodes; up to eight machines of these jobs hang for so long.
+    pub fn cancel_now(&mut self, count: usize, through: Vec<usize>, hang_s: f64) {
+        let mut left: BTreeMap<JobId, f64> = BTreeMap::new();
+        for task in self.workers.values().flat_map(|worker| &worker.tasks) {
+            if task.state == TaskState::Running {
+                let until = left.entry(task.task.job.clone()).or_default();
+                *until = until.max(task.until);
+            }
+        }
+        let open = |id: &JobId| !self.rules.last(id).is_some_and(JobState::is_final);
+        let mut longest: Vec<(f64, JobId)> =
+            left.into_iter().filter(|(id, _)| open(id)).map(|(id, until)| (until, id)).collect();
+        longest.sort_by(|a, b| b.0.total_cmp(&a.0));
+        longest.truncate(count);
+        let jobs: Vec<JobId> = longest.into_iter().map(|(_, id)| id).collect();
+        if hang_s > 0.0 {
+            let holds = |w: &&Worker| w.tasks.iter().any(|t| jobs.contains(&t.task.job));
+            let names = self.workers.values().filter(holds).map(|w| w.name.clone());
+            let names: Vec<String> = names.take(8).collect();
+            self.hang(names, hang_s);
+        }
+        for id in jobs {
+            let after_s = self.rng.random_range(0.0..0.2);
+            let through = through.clone();
+            self.after(after_s, move |sim| sim.cancel_through(id, through));
+        }
+    }
+
+    /// Machines hang for a while.
+    pub fn hang(&mut self, names: Vec<String>, for_s: f64) {
+        self.trouble(for_s);
+        let set = move |sim: &mut Sim, on: bool| {
+            let now = sim.now;
+            for name in &names {
+                if let Some(worker) = sim.workers.get_mut(name) {
+                    worker.hang(now, on);
+                }
+            }
+        };
+        set(self, true);
+        self.after(for_s, move |sim| set(sim, false));
+    }
+
+    /// The last task of a job ends: at that moment its user calls it off, asks for it and
+    /// submits it again, at any node each.
+    fn at_the_end(&mut self, id: JobId) {
+        if self.cancel_at_end <= 0.0 || self.rng.random::<f64>() >= self.cancel_at_end {
+            return;
+        }
+        let mut soon = || if self.rng.random() { 0.0 } else { self.rng.random_range(0.0..0.4) };
+        let (cancel_s, ask_s, submit_s) = (soon(), soon(), soon());
+        let (asked, submitted) = (id.clone(), id.clone());
+        self.after(cancel_s, move |sim| sim.cancel(id));
+        self.after(ask_s, move |sim| sim.poll_once(asked));
+        self.after(submit_s, move |sim| sim.submit_again(submitted));
+    }
+
+    /// A user submits a job once more: it is known, so 200 is the answer.
+    pub fn submit_again(&mut self, id: JobId) {
+        let Some(spec) = self.rules.spec(&id) else { return };
+        let known = self.rules.last(&id).is_some();
+        let body = serde_json::to_vec(&spec).unwrap_or_default();
+        self.ask(id.clone(), ("POST", "/api/jobs".into(), body), 5.0, move |sim, status, _| {
+            if known && !matches!(status, 0 | 200 | 429 | 503 | 504) {
+                sim.rules.broke("odd", format!("{:.2}: repeat of {id}: {status}", sim.now));
             }
         });
     }
 
+    /// Users' odd requests, one of each kind a second: a repeat of an unfinished job, a
+    /// cancellation of a done one, jobs that lack a field or fit no machine.
+    pub fn send_odd_requests(&mut self, until: f64) {
+        if self.now >= until {
+            return;
+        }
+        self.odd_requests += 1;
+        let turn = self.odd_requests as usize;
+        let pick = |ids: Vec<JobId>| ids.get(turn % ids.len().max(1)).cloned();
+        let told = |wanted: fn(JobState) -> bool| {
+            let ids = self.followed.iter();
+            pick(ids.filter(|id| self.rules.last(id).is_some_and(wanted)).cloned().collect())
+        };
+        let (open, done) = (told(|s| !s.is_final()), told(|s| s == JobState::Done));
+        if let Some(id) = open {
+            self.submit_again(id);
+        }
+        if let Some(id) = done {
+            self.cancel(id);
+        }
+        let fields = [
+            "name_id",
+            "rig",
+            "crew",
+            "build",
+            "urgency",
+            "pieces",
+            "vcpus",
+            "gpus",
+            "ram_gb",
+            "pattern",
+            "size_gb",
+            "one_zone",
+            "scatter",
+            "driftwood",
+            "reckon_s",
+            "mark_s",
+            "stow_s",
+        ];
+        let mut lacking = crate::scenario::example_job(&format!("job-7{turn:05}"));
+        let mut value = serde_json::to_value(&lacking).unwrap_or_default();
+        if let Some(object) = value.as_object_mut() {
+            object.remove(fields[turn % fields.len()]);
+        }
+        self.expect_refusal(value.to_string().into_bytes(), 400);
+        lacking.id = format!("job-8{turn:05}").parse().expect("an id of the form");
+        match turn % 4 {
+            0 => lacking.cpus = 33.0,
+            1 => lacking.types = Some(vec!["none".into()]),
+            2 => lacking.zone = Some("nowhere".into()),
+            _ => lacking.team = "nobody".into(),
+        }
+        self.poll_once(lacking.id.clone());
+        self.expect_refusal(serde_json::to_vec(&lacking).unwrap_or_default(), 422);
+        self.after(1.0, move |sim| sim.send_odd_requests(until));
+    }
+
+    /// Sends a submission that has to be refused with this status, or be put off.
+    fn expect_refusal(&mut self, body: Vec<u8>, wanted: u16) {
+        let Some(node) = self.any_node() else { return };
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let request = ("POST", "/api/jobs".to_owned(), body);
+        self.request(End::Users, node, request, 5.0, move |sim, reply| {
+            let got = reply.map_or(0, |reply| reply.status);
+            if got != wanted && !matches!(got, 0 | 429 | 503 | 504) {
+                let what = format!("{:.2}: {got} instead of {wanted}: {text}", sim.now);
+                sim.rules.broke("odd", what);
+            }
+        });
+    }
+
+    /// Tells the checker now and then which machines have room.
+    fn look_for_waiting(&mut self) {
+        let (now, lease_s) = (self.now, self.lease_s);
+        let mut held = BTreeSet::new();
+        let mut rooms = Vec::new();
+        for worker in self.workers.values() {
+            let here = worker.tasks.iter().filter(|task| task.state != TaskState::Exited);
+            held.extend(here.map(|task| task.task.job.clone()));
+            let well = !(worker.hung || worker.deaf || worker.mute || worker.sick)
+                && worker.slow <= 1.0
+                && worker.leaves_at.is_none()
+                && now - worker.lease_from < lease_s;
+            if well {
+                rooms.push(RoomOn {
+                    machine_type: worker.machine_type.clone(),
+                    zone: worker.zone.clone(),
+                    spot: worker.spot,
+                    free: worker.free(),
+                });
+            }
+        }
+        self.rules.check_waiting(now, &rooms, &held);
+        self.after(LOOK_S, Sim::look_for_waiting);
+    }
+
     /// Sends bytes that nobody should send to a node, on every path.
     pub fn send_junk(&mut self, node: usize) {
         let bodies: [&[u8]; 5] = [b"", b"{", b"[1,2]", b"\xff\xfe\x00", b"{\"name_id\":7}"];
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -68,6 +68,10 @@
     pub hung: bool,
     /// Its reports arrive; answers and commands do not reach it.
     pub deaf: bool,
+    /// It reaches no controller, while direct commands reach it and are answered.
+    pub mute: bool,
+    /// The report that it was about to send when it hung, and when that was.
+    pub held_report: Option<(f64, Report)>,
     /// When it goes.
     pub leaves_at: Option<f64>,
     /// Whether something changed since the last report.
@@ -110,6 +114,8 @@
             sick: false,
             hung: false,
             deaf: false,
+            mute: false,
+            held_report: None,
             leaves_at: None,
             changed: true,
             in_flight: None,
@@ -267,15 +273,26 @@
         self.tasks.first().map(|task| task.spec.clone())
     }
 
-    fn has_room(&self, spec: &JobSpec) -> bool {
+    /// CPUs, GPUs and memory that no task has.
+    pub fn free(&self) -> (f64, f64, f64) {
         let there = self.tasks.iter().filter(|t| t.state != TaskState::Exited);
-        let (mut cpus, mut gpus, mut memory) = (spec.cpus, spec.gpus, spec.memory_gb);
-        for task in there {
-            cpus += task.spec.cpus;
-            gpus += task.spec.gpus;
-            memory += task.spec.memory_gb;
+        there.fold(self.room, |(cpus, gpus, memory), task| {
+            (cpus - task.spec.cpus, gpus - task.spec.gpus, memory - task.spec.memory_gb)
+        })
+    }
+
+    fn has_room(&self, spec: &JobSpec) -> bool {
+        let (cpus, gpus, memory) = self.free();
+        spec.cpus <= cpus && spec.gpus <= gpus && spec.memory_gb <= memory
+    }
+
+    /// Hangs, or goes on. What hangs keeps its tasks on the machine, past the end of its
+    /// lease too: they are only killed when it goes on, or with the machine.
+    pub fn hang(&mut self, now: f64, on: bool) {
+        if on && !self.hung {
+            self.held_report = Some((now, self.report(now)));
         }
-        cpus <= self.room.0 && gpus <= self.room.1 && memory <= self.room.2
+        self.hung = on;
     }
 
     /// Lets time pass: tasks go on, the lease runs out.
--- /dev/null
+++ b/crates/gladekeel-testkit/tests/rules.rs
@@ -0,0 +1,275 @@
+//! Each rule of the checker is shown to fail on a world that breaks it.
+
+use gladekeel_testkit::{
+    rules::{RoomOn, Rules},
+    scenario::{example_job, example_settings, example_type},
+};
+use gladekeel_wire::{
+    JobId, TaskId,
+    job::{JobSpec, JobState, Kind},
+};
+use std::collections::BTreeSet;
+
+fn rules() -> Rules {
+    Rules::new(example_settings(0, 1).params)
+}
+
+fn cancel_s() -> f64 {
+    example_settings(0, 1).params.workers.cancel_s
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId { job: "job-1".parse().unwrap(), index }
+}
+
+fn names(rules: &Rules) -> Vec<&str> {
+    rules.broken.iter().map(|(rule, _)| *rule).collect()
+}
+
+/// Each rule is shown to fail on a world that breaks it, and only it.
+#[test]
+fn every_rule_can_fail() {
+    let id: JobId = "job-1".parse().unwrap();
+    let mut spec = example_job("job-1");
+    spec.tasks = 4;
+    spec.cpus = 4.0;
+
+    let mut r = rules();
+    r.submits(&spec);
+    r.started(1.0, &task(0), "n-1", "m32", "a", false);
+    r.started(2.0, &task(0), "n-2", "m32", "a", false);
+    assert_eq!(names(&r), ["ran_twice"]);
+
+    let mut r = rules();
+    let mut large = spec.clone();
+    large.cpus = 60.0;
+    r.submits(&large);
+    for index in 0..4 {
+        r.started(1.0, &task(index), "n-1", "m32", "a", false);
+    }
+    assert_eq!(names(&r), ["quota"]);
+
+    for change in [
+        (|s: &mut JobSpec| s.spot = false) as fn(&mut JobSpec),
+        |s| s.zone = Some("b".into()),
+        |s| s.types = Some(vec!["g8".into()]),
+        |s| s.one_zone = true,
+        |s| s.spread = true,
+    ] {
+        let mut r = rules();
+        let mut spec = spec.clone();
+        change(&mut spec);
+        r.submits(&spec);
+        if spec.one_zone {
+            r.started(1.0, &task(3), "n-9", "m32", "b", true);
+        }
+        let tasks = if spec.spread { 3 } else { 1 };
+        for index in 0..tasks {
+            r.started(1.0, &task(index), "n-1", "m32", "a", true);
+        }
+        assert_eq!(names(&r), ["wrong_place"]);
+    }
+
+    let mut r = rules();
+    r.submits(&spec);
+    r.asks_to_cancel(&id);
+    r.started(1.0, &task(0), "n-1", "m32", "a", false);
+    r.answer(2.0, &id, 200, Some(JobState::Cancelled), false);
+    r.check_cancelled(2.0 + cancel_s());
+    assert!(names(&r).is_empty());
+    r.check_cancelled(2.1 + cancel_s());
+    assert_eq!(names(&r), ["ran_cancelled"]);
+
+    let mut r = rules();
+    r.submits(&spec);
+    r.answer(1.0, &id, 404, None, false);
+    assert!(names(&r).is_empty(), "not accepted yet");
+    r.answer(1.0, &id, 201, Some(JobState::Queued), true);
+    r.answer(2.0, &id, 404, None, false);
+    r.answer(3.0, &id, 422, None, true);
+    assert_eq!(names(&r), ["forgotten", "forgotten"]);
+
+    let mut r = rules();
+    r.answer(1.0, &id, 200, Some(JobState::Queued), false);
+    assert_eq!(names(&r), ["invented"]);
+
+    let mut r = rules();
+    r.submits(&spec);
+    r.ended(&task(0), "n-1", true);
+    r.answer(1.0, &id, 200, Some(JobState::Done), false);
+    assert_eq!(names(&r), ["not_done"]);
+
+    let mut r = rules();
+    r.submits(&spec);
+    for index in 0..4 {
+        r.ended(&task(index), "n-1", true);
+    }
+    r.answer(1.0, &id, 200, Some(JobState::Done), false);
+    assert!(names(&r).is_empty());
+    r.answer(2.0, &id, 200, Some(JobState::Running), false);
+    assert_eq!(names(&r), ["went_back"]);
+
+    let mut r = rules();
+    r.submits(&spec);
+    r.answer(1.0, &id, 200, Some(JobState::Cancelled), false);
+    assert_eq!(names(&r), ["went_back"], "its user did not cancel it");
+}
+
+#[test]
+fn unanswered_polls_count_once_troubles_are_over() {
+    let id: JobId = "job-1".parse().unwrap();
+    let mut r = rules();
+    r.submits(&example_job("job-1"));
+    r.answer(1.0, &id, 201, Some(JobState::Queued), true);
+    r.calm_from = 100.0;
+    for now in [50.0, 100.0, 174.0] {
+        r.answer(now, &id, 503, None, false);
+    }
+    assert!(names(&r).is_empty(), "75 s have not passed since");
+    r.answer(176.0, &id, 503, None, false);
+    assert_eq!(names(&r), ["unanswered"]);
+    r.answer(177.0, &id, 200, Some(JobState::Queued), false);
+    r.answer(250.0, &id, 0, None, false);
+    assert_eq!(names(&r), ["unanswered"]);
+}
+
+/// A start that was in flight when the cancellation was confirmed breaks nothing: its
+/// command may be 4 s old, and then the image is fetched. What begins later does.
+#[test]
+fn starts_after_a_cancellation_count_once_none_can_be_in_flight() {
+    let id: JobId = "job-1".parse().unwrap();
+    let mut spec = example_job("job-1");
+    spec.tasks = 4;
+    for (image_gb, fine, late) in [(1.0, 6.9, 7.1), (10.0, 15.9, 16.1)] {
+        let mut r = rules();
+        r.types = vec![example_type(vec!["a".into()])];
+        r.submits(&JobSpec { image_gb, ..spec.clone() });
+        r.answer(1.0, &id, 201, Some(JobState::Queued), true);
+        r.asks_to_cancel(&id);
+        r.answer(2.0, &id, 200, Some(JobState::Cancelled), false);
+        r.started(fine, &task(0), "n-1", "m32", "a", false);
+        assert!(names(&r).is_empty(), "it was in flight");
+        r.started(late, &task(1), "n-1", "m32", "a", false);
+        assert_eq!(names(&r), ["started_cancelled"]);
+    }
+}
+
+#[test]
+fn jobs_that_can_never_run_must_not_be_accepted() {
+    let id: JobId = "job-1".parse().unwrap();
+    let fits = example_job("job-1");
+    let changes: [fn(&mut JobSpec); 9] = [
+        |_| {},
+        |s| s.cpus = 33.0,
+        |s| s.gpus = 1.0,
+        |s| s.memory_gb = 65.0,
+        |s| s.types = Some(vec!["g8".into()]),
+        |s| s.zone = Some("c".into()),
+        |s| s.team = "nobody".into(),
+        // The team's limit is 200 CPUs: a gang needs all of its tasks at once.
+        |s| (s.kind, s.tasks, s.cpus) = (Kind::Gang, 20, 16.0),
+        |s| (s.kind, s.tasks, s.cpus) = (Kind::Array, 20, 16.0),
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let mut spec = fits.clone();
+        change(&mut spec);
+        let mut r = rules();
+        r.types = vec![example_type(vec!["a".into(), "b".into()])];
+        r.submits(&spec);
+        r.answer(1.0, &id, 422, None, true);
+        assert!(names(&r).is_empty(), "to refuse it breaks nothing");
+        r.answer(2.0, &id, 201, Some(JobState::Queued), true);
+        let broken: &[&str] = if matches!(index, 0 | 8) { &[] } else { &["cannot_run"] };
+        assert_eq!(names(&r), broken, "change {index}");
+    }
+}
+
+fn room(zone: &str, spot: bool, cpus: f64) -> RoomOn {
+    RoomOn { machine_type: "m32".into(), zone: zone.into(), spot, free: (cpus, 0.0, 64.0) }
+}
+
+/// Looks every 5 s at a job that waits, from 0 to `until`, and tells what broke.
+fn waits(
+    spec: &JobSpec,
+    until: u32,
+    look: impl Fn(u32, &mut Rules) -> (Vec<RoomOn>, bool),
+) -> Vec<String> {
+    let mut r = rules();
+    r.submits(spec);
+    r.answer(0.0, &spec.id, 201, Some(JobState::Queued), true);
+    for now in (0..=until).step_by(5) {
+        let (rooms, holds) = look(now, &mut r);
+        let held = if holds { BTreeSet::from([spec.id.clone()]) } else { BTreeSet::new() };
+        r.check_waiting(f64::from(now), &rooms, &held);
+    }
+    r.broken.iter().map(|(rule, _)| (*rule).to_owned()).collect()
+}
+
+/// In calm a job that has nothing on any machine waits for 90 s at most while a machine
+/// that fits has room; every reason to wait longer is one of those listed.
+#[test]
+fn jobs_that_wait_beside_room_count_in_calm() {
+    let mut spec = example_job("job-1");
+    (spec.cpus, spec.tasks) = (8.0, 4);
+    let beside = |_: u32, _: &mut Rules| (vec![room("a", false, 8.0)], false);
+    assert!(waits(&spec, 90, beside).is_empty(), "90 s have not passed");
+    assert_eq!(waits(&spec, 400, beside), ["left_waiting"], "it is said once");
+
+    // The clock begins when the troubles are over.
+    let calm_from = |at: f64| {
+        move |_: u32, r: &mut Rules| {
+            r.calm_from = at;
+            (vec![room("a", false, 8.0)], false)
+        }
+    };
+    assert!(waits(&spec, 190, calm_from(100.0)).is_empty());
+    assert_eq!(waits(&spec, 195, calm_from(100.0)), ["left_waiting"]);
+
+    // No room, not for a while or never.
+    assert!(waits(&spec, 400, |_, _| (vec![room("a", false, 7.9)], false)).is_empty());
+    let gap = |now: u32, _: &mut Rules| {
+        (if now == 60 { vec![] } else { vec![room("a", false, 8.0)] }, false)
+    };
+    assert!(waits(&spec, 155, gap).is_empty());
+    assert_eq!(waits(&spec, 160, gap), ["left_waiting"]);
+
+    // Something of it is on a machine.
+    assert!(waits(&spec, 400, |_, _| (vec![room("a", false, 8.0)], true)).is_empty());
+
+    // Room where it may not be.
+    let elsewhere = JobSpec { zone: Some("b".into()), spot: false, ..spec.clone() };
+    assert!(waits(&elsewhere, 400, beside).is_empty());
+    assert!(waits(&elsewhere, 400, |_, _| (vec![room("b", true, 8.0)], false)).is_empty());
+    let there = |_: u32, _: &mut Rules| (vec![room("b", false, 8.0)], false);
+    assert_eq!(waits(&elsewhere, 400, there), ["left_waiting"]);
+
+    // Its team is at its limit of 200 CPUs.
+    let full = |cpus: f64| {
+        move |now: u32, r: &mut Rules| {
+            if now == 0 {
+                let other = JobSpec { cpus, ..example_job("job-2") };
+                r.submits(&other);
+                let task = TaskId { job: other.id, index: 0 };
+                r.started(0.0, &task, "n-9", "m32", "a", false);
+            }
+            (vec![room("a", false, 8.0)], false)
+        }
+    };
+    assert!(waits(&spec, 400, full(193.0)).is_empty());
+    assert_eq!(waits(&spec, 400, full(192.0)), ["left_waiting"]);
+
+    // A gang begins whole, on several machines.
+    let gang = JobSpec { kind: Kind::Gang, ..spec.clone() };
+    let two = |cpus: f64| {
+        move |_: u32, _: &mut Rules| (vec![room("a", false, 16.0), room("b", false, cpus)], false)
+    };
+    assert!(waits(&gang, 400, two(8.0)).is_empty());
+    assert_eq!(waits(&gang, 400, two(16.0)), ["left_waiting"]);
+
+    // Its user called it off.
+    let cancelled = |_: u32, r: &mut Rules| {
+        r.asks_to_cancel(&"job-1".parse().unwrap());
+        (vec![room("a", false, 8.0)], false)
+    };
+    assert!(waits(&spec, 400, cancelled).is_empty());
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/tests/stand_ins.rs
@@ -0,0 +1,51 @@
+//! What the stand-ins do in troubles is what the protocol says.
+
+use gladekeel_testkit::{
+    scenario,
+    scenario::example_job,
+    worker::{Happened, Worker},
+};
+use gladekeel_wire::{
+    TaskId,
+    worker::{Command, Direct, ReportAnswer},
+};
+
+fn start(task: &TaskId) -> Vec<Command> {
+    vec![Command::Start { task: task.clone(), attempt: 1 }]
+}
+
+/// A machine that hangs past its lease keeps its tasks until it goes on; commands that
+/// reached it meanwhile are of an earlier session by then.
+#[test]
+fn a_hung_machine_keeps_its_tasks_past_its_lease() {
+    let spec = example_job("job-1");
+    let task = TaskId { job: spec.id.clone(), index: 0 };
+    let find = |_: &TaskId| Some(spec.clone());
+    let room = (32.0, 0.0, 64.0);
+    let mut worker = Worker::new("n-1".into(), "m32".into(), "a".into(), false, room, 30.0, 0.0, 0);
+    let answer = ReportAnswer { token: 7, commands: start(&task) };
+    assert!(worker.answered(0.0, 1, 0.0, &answer, &find).is_empty());
+    assert_eq!(worker.step(1.5), [Happened::Started(task.clone())]);
+    worker.hang(2.0, true);
+    assert!(worker.step(100.0).is_empty(), "its lease is long over, its task still there");
+    assert_eq!(worker.tasks.len(), 1);
+    worker.hang(100.0, false);
+    assert_eq!(worker.step(100.0), [Happened::Ended(task.clone(), false)]);
+    assert!(worker.tasks.is_empty());
+    let late = Direct { token: 7, session: 1, commands: start(&task) };
+    assert!(!worker.direct(100.0, &late, &find).0);
+    // The report that it was about to send shows what was there then.
+    let (made_at, report) = worker.held_report.take().unwrap();
+    assert_eq!((made_at, report.session, report.tasks.len()), (2.0, 1, 1));
+}
+
+/// A scenario with several seeds says which of them fails.
+#[test]
+fn each_seed_is_run() {
+    let text = "world seeds=4..6\nuntil 5\nexpect leaders >= 1\nexpect leaders = 9\n";
+    let failure = scenario::run(text).unwrap_err().to_string();
+    for seed in 4..=6 {
+        assert!(failure.contains(&format!("seed {seed}: line 4: leaders is 1")), "{failure}");
+    }
+    assert!(!failure.contains("line 3"), "{failure}");
+}
