--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -219,6 +219,8 @@
                     other => return Err(format!("no kind {other}")),
                 }
             }
+            // Not the job's: each task runs so much longer than the one before it.
+            "apart" => {}
             "spot" => spec.spot = *value == "yes",
             "priority" => {
                 spec.priority = match *value {
@@ -262,7 +264,13 @@
         "submit" => {
             let specs: Vec<JobSpec> =
                 names(at(1)?).iter().map(|name| job(name, &words)).collect::<Result<_, _>>()?;
-            Box::new(move |sim| specs.into_iter().for_each(|spec| sim.submit(spec)))
+            let apart_s = words.get("apart").map_or(Ok(0.0), |text| number(text))?;
+            Box::new(move |sim| {
+                for spec in specs {
+                    sim.rules.apart_s.insert(spec.id.clone(), apart_s);
+                    sim.submit(spec);
+                }
+            })
         }
         "poll" => {
             let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
@@ -307,6 +315,18 @@
                 sim.after(for_s, |sim| sim.late_writes = 0.0);
             })
         }
+        "links" => {
+            let factor = number(at(2)?)?;
+            Box::new(move |sim| {
+                sim.links_slow = factor;
+                sim.trouble(for_s);
+                sim.after(for_s, |sim| sim.links_slow = 1.0);
+            })
+        }
+        "again" => {
+            let ids: Vec<JobId> = names(at(1)?).iter().map(|n| id(n)).collect::<Result<_, _>>()?;
+            Box::new(move |sim| ids.into_iter().for_each(|id| sim.submit_again(id)))
+        }
         "odd" => Box::new(move |sim| {
             let until = sim.now + for_s;
             sim.send_odd_requests(until);
@@ -529,6 +549,11 @@
         ["broken", rule] => Ok((!sim.rules.broken.iter().any(|(broken, _)| broken == rule))
             .then(|| format!("{rule} is not broken"))),
         ["starts", rest @ ..] => compare("starts", sim.rules.starts as f64, rest),
+        // Jobs that a user was told are cancelled, and their tasks that are still there.
+        ["confirmed", rest @ ..] => compare("confirmed", sim.rules.confirmed() as f64, rest),
+        ["cancelled_running", rest @ ..] => {
+            compare("cancelled_running", sim.rules.cancelled_running() as f64, rest)
+        }
         ["leaders", rest @ ..] => compare("leaders", sim.leaders.len() as f64, rest),
         ["machines", rest @ ..] => compare("machines", sim.cloud.present().len() as f64, rest),
         ["rented", rest @ ..] => compare("rented", sim.cloud.machines.len() as f64, rest),
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -118,6 +118,8 @@
     pub late_writes: f64,
     /// How many times longer requests to the state service and answers take.
     pub state_slow: f64,
+    /// How many times longer every message takes.
+    pub links_slow: f64,
     /// Part of the jobs that are called off at the moment at which their last task ends.
     pub cancel_at_end: f64,
     /// The cloud.
@@ -174,6 +176,7 @@
             state_mute: false,
             late_writes: 0.0,
             state_slow: 1.0,
+            links_slow: 1.0,
             cancel_at_end: 0.0,
             cloud,
             workers: BTreeMap::new(),
@@ -274,7 +277,7 @@
 
     fn delay(&mut self) -> f64 {
         let slow = self.rng.random::<f64>() < 0.01;
-        self.rng.random_range(0.001..0.01) + if slow { 0.3 } else { 0.0 }
+        self.links_slow * (self.rng.random_range(0.001..0.01) + if slow { 0.3 } else { 0.0 })
     }
 
     fn deliver(&mut self, from: &End, to: &End, job: impl FnOnce(&mut Sim) + 'static) {
@@ -558,7 +561,7 @@
     fn direct(&mut self, name: &str, body: &Direct) -> DirectOutcome {
         let Some(worker) = self.workers.get_mut(name) else { return DirectOutcome::NotExecuted };
         let rules = &self.rules;
-        let find = |task: &TaskId| rules.spec(&task.job).filter(|s| task.index < s.tasks);
+        let find = |task: &TaskId| rules.task_spec(task);
         let (executed, happened) = worker.direct(self.now, body, &find);
         let report = worker.report(self.now);
         let (kind, zone, spot) = (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
@@ -783,7 +786,7 @@
             if let Some(answer) = answer {
                 worker.in_flight = None;
                 let rules = &sim.rules;
-                let find = |task: &TaskId| rules.spec(&task.job).filter(|s| task.index < s.tasks);
+                let find = |task: &TaskId| rules.task_spec(task);
                 let happened = worker.answered(sim.now, session, sent_at, &answer, &find);
                 let (kind, zone, spot) =
                     (worker.machine_type.clone(), worker.zone.clone(), worker.spot);
@@ -861,6 +864,7 @@
         then: impl FnOnce(&mut Sim, u16, Option<JobState>) + 'static,
     ) {
         let submission = request.1 == "/api/jobs";
+        let asked = self.now;
         self.request(End::Users, node, request, limit_s, move |sim, reply| {
             let (status, state) = match &reply {
                 None => (0, None),
@@ -869,7 +873,7 @@
                     (reply.status, status.filter(|s| s.id == id).map(|s| s.state))
                 }
             };
-            sim.rules.answer(sim.now, &id, status, state, submission);
+            sim.rules.answer_to(asked, sim.now, &id, status, state, submission);
             then(sim, status, state);
         });
     }
--- a/crates/gladekeel-testkit/tests/rules.rs
+++ b/crates/gladekeel-testkit/tests/rules.rs
@@ -273,3 +273,30 @@
     };
     assert!(waits(&spec, 400, cancelled).is_empty());
 }
+
+/// Answers to requests that were under way at once may overtake one another; only an answer
+/// to a request that was sent after a user was told of the end is older than that. Two
+/// different ends contradict each other in any order.
+#[test]
+fn answers_that_overtake_one_another_go_back_nowhere() {
+    let id: JobId = "job-1".parse().unwrap();
+    let mut spec = example_job("job-1");
+    spec.tasks = 1;
+    let told = |asked: f64, status: u16, state: Option<JobState>| {
+        let mut r = rules();
+        r.submits(&spec);
+        r.asks_to_cancel(&id);
+        r.answer_to(0.5, 1.0, &id, 201, Some(JobState::Queued), true);
+        r.ended(&task(0), "n-1", true);
+        r.answer_to(4.0, 5.0, &id, 200, Some(JobState::Done), false);
+        r.answer_to(asked, 6.0, &id, status, state, true);
+        (names(&r).join(" "), r.last(&id))
+    };
+    let done = Some(JobState::Done);
+    assert_eq!(told(4.9, 200, Some(JobState::Running)), (String::new(), done));
+    assert_eq!(told(5.0, 200, Some(JobState::Running)).0, "went_back");
+    assert_eq!(told(4.9, 200, Some(JobState::Cancelled)).0, "went_back");
+    assert_eq!(told(0.9, 404, None).0, "");
+    assert_eq!(told(1.0, 404, None).0, "forgotten");
+    assert_eq!(told(1.0, 422, None).0, "forgotten");
+}
