--- a/crates/gladekeel-testkit/src/cloud.rs
+++ b/crates/gladekeel-testkit/src/cloud.rs
@@ -125,18 +125,18 @@
                         && m.gone_at.is_none_or(|gone| gone > then)
                 });
                 let machines = rows
-                    .map(|(name, m)| MachineRow {
-                        name: name.clone(),
-                        addr: None,
-                        machine_type: m.machine_type.clone(),
-                        zone: m.zone.clone(),
-                        spot: m.spot,
-                        state: if m.up_at.is_some_and(|up| up <= then) {
-                            MachineState::Running
-                        } else {
-                            MachineState::Booting
-                        },
-                        age_s: then - m.at,
+                    .map(|(name, m)| {
+                        let up = m.up_at.is_some_and(|up| up <= then);
+                        MachineRow {
+                            name: name.clone(),
+                            // Its worker's address here, known once it is up.
+                            addr: up.then(|| name.clone()),
+                            machine_type: m.machine_type.clone(),
+                            zone: m.zone.clone(),
+                            spot: m.spot,
+                            state: if up { MachineState::Running } else { MachineState::Booting },
+                            age_s: then - m.at,
+                        }
                     })
                     .collect();
                 (CloudOutcome::List(MachineList { machines, more: false }), none(), none())
