--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -334,6 +334,11 @@
         }
     }
 
+    /// CPUs that a team's tasks on machines use.
+    pub fn cpus_of(&self, team: &str) -> f64 {
+        self.uses.get(team).map_or(0.0, |(cpus, _)| *cpus)
+    }
+
     /// How many jobs a user was told are cancelled.
     pub fn confirmed(&self) -> usize {
         self.cancelled.len()
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -549,6 +549,7 @@
         ["broken", rule] => Ok((!sim.rules.broken.iter().any(|(broken, _)| broken == rule))
             .then(|| format!("{rule} is not broken"))),
         ["starts", rest @ ..] => compare("starts", sim.rules.starts as f64, rest),
+        ["cpus", team, rest @ ..] => compare("cpus", sim.rules.cpus_of(team), rest),
         // Jobs that a user was told are cancelled, and their tasks that are still there.
         ["confirmed", rest @ ..] => compare("confirmed", sim.rules.confirmed() as f64, rest),
         ["cancelled_running", rest @ ..] => {
