--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -10,6 +10,9 @@
 //! expect job-1 done
 //! ```
 //!
+//! A world with `seeds=1..4` is played once with each seed. Troubles of several parts are
+//! several lines: a node that loses the state service and the other nodes is cut twice.
+//!
 //! Every scenario also expects that no rule breaks, unless it says `expect
 //! broken RULE`.
 
