Testkit: a direct start that was sent before the cancellation and held up is in flight

A machine that hangs, or a cut, may hold a direct start for longer than the 4 s after which an answer to a report is dropped; no controller can call it back from there. The protocol counts it as in flight, to be gone within cancel_s. Starts sent after the confirmation, or told again in an answer, still break started_cancelled (shown for each).

--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -537,6 +537,11 @@
         self.after(limit_s, move |sim| {
             sim.event(node, incarnation, Event::Direct { call, outcome: DirectOutcome::Unknown });
         });
+        for command in request.body.iter().flat_map(|body| &body.commands) {
+            if let Command::Start { task, .. } = command {
+                self.rules.sent_directly(self.now, task);
+            }
+        }
         // Addresses of workers are their machines' names here.
         let Some(worker) = self.workers.get(&request.addr) else { return };
         let zone = worker.zone.clone();
@@ -785,6 +790,11 @@
                 .and_then(|reply| serde_json::from_slice::<ReportAnswer>(&reply.body).ok());
             if let Some(answer) = answer {
                 worker.in_flight = None;
+                for command in &answer.commands {
+                    if let Command::Start { task, .. } = command {
+                        sim.rules.sent_in_answer(task);
+                    }
+                }
                 let rules = &sim.rules;
                 let find = |task: &TaskId| rules.task_spec(task);
                 let happened = worker.answered(sim.now, session, sent_at, &answer, &find);
--- a/crates/gladekeel-testkit/tests/rules.rs
+++ b/crates/gladekeel-testkit/tests/rules.rs
@@ -300,3 +300,27 @@
     assert_eq!(told(1.0, 404, None).0, "forgotten");
     assert_eq!(told(1.0, 422, None).0, "forgotten");
 }
+
+/// A start that was sent directly before the cancellation was confirmed may be held up for
+/// longer, as the protocol says; one sent after it, or told again in an answer, may not.
+#[test]
+fn only_direct_starts_of_before_the_cancellation_may_be_held_up() {
+    let id: JobId = "job-1".parse().unwrap();
+    let broken = |sent_at: f64, told_again: bool| {
+        let mut r = rules();
+        r.submits(&example_job("job-1"));
+        r.answer(1.0, &id, 201, Some(JobState::Queued), true);
+        r.asks_to_cancel(&id);
+        r.sent_directly(sent_at, &task(0));
+        if told_again {
+            r.sent_in_answer(&task(0));
+        }
+        r.answer(2.0, &id, 200, Some(JobState::Cancelled), false);
+        r.started(20.0, &task(0), "n-1", "m32", "a", false);
+        r.check_cancelled(2.1 + cancel_s());
+        names(&r).join(" ")
+    };
+    assert_eq!(broken(1.9, false), "ran_cancelled", "it must be gone all the same");
+    assert_eq!(broken(2.1, false), "started_cancelled ran_cancelled");
+    assert_eq!(broken(1.9, true), "started_cancelled ran_cancelled");
+}
