--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -9,7 +9,7 @@
 //! more. What has counted for long is told again in a new segment, so that the log
 //! stays short; a slot with something in it that counts is never written over.
 
-use super::{Leader, Phase};
+use super::{Leader, Phase, StopWhy};
 use crate::{
     keys,
     log::{self, Writer},
@@ -517,6 +517,13 @@
                 attempt.phase = Phase::Live;
                 self.direct_wanted.insert(attempt.machine);
                 self.know.counts.starts += 1;
+                if let Some(job) = self.jobs.get_mut(&attempt.job) {
+                    job.uncommitted -= 1;
+                    if job.is_gang() && job.uncommitted == 0 {
+                        let live = job.live.iter().filter_map(|id| self.attempts.get(id));
+                        self.direct_wanted.extend(live.map(|attempt| attempt.machine));
+                    }
+                }
             }
         }
         for id in sent.released {
@@ -528,13 +535,22 @@
         self.reclaim();
     }
 
-    /// Drops a proposal that is in no transaction.
+    /// Drops a proposal that is in no transaction. A gang is placed whole or not at all:
+    /// what is committed of it is stopped, and the rest is withdrawn with this one.
     pub(super) fn withdraw(&mut self, id: u64, now: f64) {
-        let sent = self.commits.sent.as_ref().is_some_and(|sent| sent.proposed.contains(&id));
-        let proposed = self.attempts.get(&id).is_some_and(|a| a.phase == Phase::Proposed);
-        if proposed && !sent {
-            self.commits.proposed.remove(&id);
-            self.free(id, log::End::Again, now);
+        let Some(job_ix) = self.attempts.get(&id).map(|attempt| attempt.job) else { return };
+        let mut ids = vec![id];
+        if let Some(job) = self.jobs.get(&job_ix).filter(|job| job.is_gang()) {
+            ids.extend(job.live.iter().filter(|other| **other != id));
+            self.stop_gang(job_ix, StopWhy::Regroup);
+        }
+        let sent = self.commits.sent.as_ref().map(|sent| sent.proposed.clone()).unwrap_or_default();
+        for id in ids {
+            let proposed = self.attempts.get(&id).is_some_and(|a| a.phase == Phase::Proposed);
+            if proposed && !sent.contains(&id) {
+                self.commits.proposed.remove(&id);
+                self.free(id, log::End::Again, now);
+            }
         }
     }
 }
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -7,7 +7,6 @@
 use super::{Leader, Machine, Phase, StopWhy};
 use gladekeel_wire::{
     TaskId,
-    job::Kind,
     worker::{Command, Direct, Report, TaskState},
 };
 
@@ -95,20 +94,26 @@
             }
             let task =
                 TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index };
-            let gang = self.jobs[&attempt.job].spec.kind == Kind::Gang;
-            let number = if gang { id - u64::from(attempt.index) } else { *id };
+            let job = &self.jobs[&attempt.job];
+            let number = if job.is_gang() { id - u64::from(attempt.index) } else { *id };
             if let Some(why) = attempt.stop {
                 let there = match attempt.seen {
-                    Some(TaskState::Fetching | TaskState::Waiting | TaskState::Running) => true,
+                    Some(TaskState::Fetching) => why != StopWhy::Incomplete,
+                    Some(TaskState::Waiting | TaskState::Running) => true,
                     Some(TaskState::Saving) => why == StopWhy::Cancelled,
                     _ => false,
                 };
                 if there && attempt.stop_sent == 0 {
                     attempt.stop_sent = 1;
-                    let grace_s = self.jobs[&attempt.job].grace(why);
+                    let grace_s = job.grace(why);
                     commands.push(Command::Stop { task, attempt: number, grace_s });
                 }
-            } else if attempt.seen.is_none() && may_start && !attempt.sent {
+            } else if attempt.seen.is_none()
+                && may_start
+                && !attempt.sent
+                && !job.over()
+                && !(job.is_gang() && job.uncommitted > 0)
+            {
                 attempt.sent = true;
                 machine.open_starts.insert(*id, None);
                 starts.push(*id);
@@ -189,7 +194,7 @@
         let Some(machine) = self.know.machines.get_mut(&call.machine) else { return };
         machine.unanswered = 0;
         machine.answered_at = Some(now);
-        machine.answers += 1;
+        machine.answers_since.get_or_insert(now);
         if machine.reported.1 == 0 {
             machine.reported.1 = report.session;
         }
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -27,9 +27,12 @@
 const SPEND_EVERY_S: f64 = 10.0;
 /// Time that a deletion may take, with a cloud that is slow and asked for much.
 const DELETE_S: f64 = 15.0;
-/// Answers in a row to direct requests, without a report, from which on a machine whose
-/// lease has run out is taken to reach no controller. They are some seconds apart.
-const MUTE_ANSWERS: u32 = 5;
+/// A machine whose lease has run out and that answers, but has not reported for so many
+/// times as long as its reports may take, reaches no controller.
+const MUTE_REPORTS: f64 = 2.0;
+/// A zone that is silent as a whole is given up so long before a cancellation that its
+/// silence may have begun with must have ended.
+const GIVE_UP_S: f64 = 8.0;
 /// A machine that boots longer than this many times the usual time does not come.
 const BOOT_MULTIPLE: f64 = 2.5;
 
@@ -56,6 +59,10 @@
     sizers: HashMap<(u32, bool), Sizer>,
     /// Work that came lately, by type and class, and as of when.
     arrived: BTreeMap<(u32, String), Flow>,
+    /// Gangs that came lately and should start at once, by type and class.
+    gangs: BTreeMap<(u32, String), Gangs>,
+    /// Ordinary machines to keep for them, by type.
+    standby: BTreeMap<u32, u32>,
     arrived_at: f64,
     /// Rentals under way or to be repeated, since they had no answer.
     rents: Vec<Rental>,
@@ -75,6 +82,24 @@
     not_before: f64,
 }
 
+/// Gangs of a class as they came in the last minutes, in machines.
+#[derive(Debug, Default)]
+struct Gangs {
+    /// Machine-seconds, old ones counting less and less.
+    work: f64,
+    /// The largest.
+    largest: f64,
+    /// When the last one came.
+    at: f64,
+}
+
+/// Gangs that came within this time tell of what will come.
+const GANGS_S: f64 = 180.0;
+/// Standby for gangs, over what they keep busy on average: they come in clusters.
+const STANDBY: f64 = 1.5;
+/// At most one in so many ordinary machines of a zone is kept for gangs.
+const STANDBY_PART: usize = 3;
+
 /// Rentals under way at once.
 const MAX_RENTALS: usize = 4;
 /// Time between deletions, so that they leave calls for rentals.
@@ -430,11 +455,15 @@
         let workers = &self.params.workers;
         // A new leader may not know when the user was told; the machines that it hears
         // are given time to say that they have stopped.
-        let heard_by = self.since + workers.late_s() + 2.0;
+        let known_by = self.since + workers.late_s() + 2.0;
         let mut over = Vec::new();
         self.ending.retain(|ix| {
             let Some(job) = self.jobs.get(ix) else { return false };
-            if now >= heard_by.max(job.cancelled_after + workers.cancel_s - DELETE_S) {
+            let until = match job.cancelled_after {
+                f64::NEG_INFINITY => known_by,
+                after => after + workers.cancel_s - DELETE_S,
+            };
+            if now >= until {
                 let attempts = job.live.iter().filter_map(|id| self.attempts.get(id));
                 over.extend(attempts.filter(|a| a.phase == Phase::Live).map(|a| a.machine));
             }
@@ -491,6 +520,9 @@
         }
         let heard_any = zones.values().any(|(heard, _)| *heard > 0);
         let lease_s = self.params.workers.lease_s;
+        let late_s = self.params.workers.late_s();
+        let mute_s = MUTE_REPORTS * late_s + 4.0;
+        let cut_s = (lease_s + 2.0 * silent_s).min(self.params.workers.cancel_s - GIVE_UP_S);
         // A zone is within reach if a machine there is heard, or if any machine is,
         // and the zone is the leader's own or a controller there is heard. Without
         // a single machine, the leader may be the one that is cut off.
@@ -521,7 +553,8 @@
                 self.know.leaving.insert(*ix);
                 continue;
             }
-            if machine.answers >= MUTE_ANSWERS && machine.newest.0 > machine.reported.1 {
+            let answers_s = machine.answers_since.map_or(0.0, |since| now - since);
+            if answers_s > mute_s && quiet < late_s && machine.newest.0 > machine.reported.1 {
                 // It answers, but its lease has run out: nobody hears its reports, and
                 // it would lose every long task again and again.
                 tracing::info!(machine = machine.name, quiet, "reports to nobody: deleted");
@@ -549,7 +582,7 @@
                 }
                 let dead = machine.suspect_since.is_some_and(|since| now - since >= SUSPECT_S);
                 if (quiet.min(reached_s) > silent_s && dead)
-                    || (heard_any && quiet > lease_s + 2.0 * silent_s)
+                    || (heard_any && quiet > cut_s)
                     || quiet > 3.0 * lease_s
                 {
                     tracing::info!(machine = machine.name, quiet, "silent: deleted");
@@ -582,6 +615,50 @@
         // Classes' due times differ from job to job: the mean by work.
         flow.due_s += (due_s - flow.due_s) * work / total;
         flow.machines = total;
+        let Some(job) = self.jobs.get(&ix).filter(|job| job.is_gang()) else { return };
+        if job.awaited(&self.params) {
+            let (at, class) = (job.known_at, job.spec.class.clone());
+            let gangs = self.know.fleet.gangs.entry((kind, class)).or_default();
+            gangs.work = gangs.work * (-(at - gangs.at).max(0.0) / GANGS_S).exp() + work;
+            gangs.largest = gangs.largest.max(f64::from(job.spec.tasks) / f64::from(fits));
+            gangs.at = gangs.at.max(at);
+        }
+    }
+
+    /// Keeps ordinary machines in each zone for gangs that should start at once: room for
+    /// a whole gang would be late if it had to be gathered, and so would the image.
+    pub(super) fn keep_standby(&mut self, now: f64) {
+        let fleet = &mut self.know.fleet;
+        fleet.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
+        let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
+        for ((kind, _), gangs) in &fleet.gangs {
+            let (busy, largest) = wanted.entry(*kind).or_default();
+            *busy += gangs.work * (-(now - gangs.at).max(0.0) / GANGS_S).exp() / GANGS_S;
+            *largest = largest.max(gangs.largest);
+        }
+        fleet.standby.clear();
+        let mut shelves: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
+        let machines = &mut self.know.machines;
+        for (ix, machine) in &*machines {
+            let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
+            let usable = !machine.spot && !machine.leaving() && machine.heard_at.is_some();
+            if usable && wanted.contains_key(&kind) {
+                shelves.entry((kind, zone)).or_default().push(*ix);
+            }
+        }
+        let mut kept = BTreeSet::new();
+        for ((kind, _), mut shelf) in shelves {
+            let (busy, largest) = wanted[&kind];
+            let count = (STANDBY * busy + largest).ceil() as usize + 1;
+            let count = count.min(shelf.len() / STANDBY_PART);
+            // Those that were kept so far, which have the images, then the emptiest.
+            shelf.sort_by_key(|ix| (!machines[ix].standby, machines[ix].used.cpus));
+            kept.extend(shelf.into_iter().take(count));
+            *self.know.fleet.standby.entry(kind).or_default() += count as u32;
+        }
+        for (ix, machine) in machines {
+            machine.standby = kept.contains(ix);
+        }
     }
 
     /// What unfinished jobs need, by machine type; with it whether they may use
@@ -604,6 +681,7 @@
                 running: f64::from(running) / f64::from(fits),
                 run_s,
                 left_s: job.due_s(&self.params, run_s) - (now - job.known_at),
+                together: job.is_gang(),
             };
             needs.entry(kind).or_default().push((job.spec.spot, need));
         }
@@ -706,7 +784,9 @@
             sizer.plan(now, needs, supply, flows, boot_s, &options.sizing)
         };
         let any = plan(false, &all, &supply);
-        let ordinary = plan(true, &no_spot, &supply_ordinary);
+        let mut ordinary = plan(true, &no_spot, &supply_ordinary);
+        let standby = fleet.standby.get(&kind).copied().unwrap_or(0);
+        ordinary.need = ordinary.need.max(f64::from(standby));
         tracing::debug!(
             kind,
             up = supply.up,
@@ -776,6 +856,7 @@
                 m.kind == Some(kind)
                     && m.spot == spot
                     && !m.leaving()
+                    && !m.standby
                     && m.heard_at.is_some()
                     && m.attempts.is_empty()
                     && now - m.idle_since >= options.idle_s
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -26,12 +26,7 @@
 use fleet::Fleet;
 use gladekeel_sched::{Interner, Room, place::Team};
 use gladekeel_wire::{
-    JobId,
-    admin::MachineStatus,
-    cloud::MachineTypes,
-    job::{Kind, MAX_TASKS},
-    settings::Params,
-    state::Txn,
+    JobId, admin::MachineStatus, cloud::MachineTypes, job::MAX_TASKS, settings::Params, state::Txn,
     worker::TaskReport,
 };
 use model::{Catalog, Outcome};
@@ -52,6 +47,9 @@
 /// It is so after this long at the least.
 const QUIET_LEAST_S: f64 = 1.5;
 
+/// How long a place is looked for to replace a task of a gang that waits.
+const REPLACE_S: f64 = 5.0;
+
 /// What a leader counts.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Counts {
@@ -302,7 +300,8 @@
         }
         let new = now > self.since && job.fate.is_none();
         self.jobs.insert(ix, job);
-        if new {
+        // Of gangs a new leader wants to know at once how much room to keep for them.
+        if new || self.jobs.get(&ix).is_some_and(|job| job.is_gang() && job.fate.is_none()) {
             self.count_arrival(ix);
         }
         self.untold.insert(ix);
@@ -411,7 +410,12 @@
             self.restore(now, ix, id, row, seq);
         }
         let mut ended = Vec::new();
+        let mut broken = Vec::new();
         for (ix, job) in &mut self.jobs {
+            if job.is_gang() && job.done.count() > 0 {
+                // One of a gang's tasks tells of all: they complete together.
+                (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
+            }
             let there = assigned.get(ix);
             job.pending
                 .retain(|at| !job.done.has(*at) && !there.is_some_and(|set| set.contains(at)));
@@ -421,9 +425,14 @@
             if job.fate.is_some() && !job.live.is_empty() {
                 self.commits.cleared.remove(ix);
             }
+            if job.is_gang() && !job.over() && !job.live.is_empty() && !job.pending.is_empty() {
+                // Part of it was committed when its leader ended, or a task of it is gone
+                // already. It begins anew as a whole.
+                broken.push(*ix);
+            }
             for id in &job.live {
                 let Some(attempt) = self.attempts.get_mut(id) else { continue };
-                if job.done.has(attempt.index) {
+                if job.done.has(attempt.index) && !job.is_gang() {
                     // Its finish was stored upon a report of its exit: that is the proof.
                     ended.push(*id);
                 } else if job.cancelled() {
@@ -435,6 +444,9 @@
         for id in ended {
             self.release(id, Outcome::Done);
         }
+        for ix in broken {
+            self.stop_gang(ix, StopWhy::Regroup);
+        }
         self.reclaim();
     }
 
@@ -446,8 +458,9 @@
             .entry(machine_ix)
             .or_insert_with(|| Machine::restored(&row.machine, now));
         let Some(job) = self.jobs.get_mut(&job_ix) else { return };
-        machine.attempts.push(id);
+        machine.attempts.insert(id);
         machine.used += job.room;
+        machine.used_image(job.image, job.spec.image_gb, f64::INFINITY);
         job.live.insert(id);
         job.count_zone(machine.zone, 1);
         self.teams[job.team as usize].used += job.room;
@@ -483,15 +496,17 @@
         self.commits.released.insert(id);
         let (job_ix, index) = (attempt.job, attempt.index);
         let Some(job) = self.jobs.get_mut(&job_ix) else { return };
-        if outcome != Outcome::Done && job.spec.kind == Kind::Gang {
-            // A gang runs whole: the others stop and start again together.
-            for other in &job.live {
-                if let Some(other) = self.attempts.get_mut(other) {
-                    other.stop.get_or_insert(StopWhy::Regroup);
-                    self.direct_wanted.insert(other.machine);
-                }
+        if job.is_gang() && outcome == Outcome::Done {
+            // The tasks of a gang complete together: one that is done tells of all.
+            (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
+            self.untold.insert(job_ix);
+            if job.fate.is_none() {
+                self.commits.finished.insert(job_ix);
             }
+        } else if job.is_gang() && !job.over() && !self.still_waits(job_ix) {
+            self.stop_gang(job_ix, StopWhy::Regroup);
         }
+        let Some(job) = self.jobs.get_mut(&job_ix) else { return };
         if outcome == Outcome::Restart {
             job.restarted.add(index);
         }
@@ -503,11 +518,45 @@
         }
     }
 
+    /// Whether a gang has not started and is not being stopped: a task of it that is gone
+    /// can be replaced under the same number while the others wait. Of what an earlier
+    /// leader placed it is not known whether it has run.
+    fn still_waits(&self, job_ix: u32) -> bool {
+        let Some(job) = self.jobs.get(&job_ix) else { return false };
+        job.live.iter().filter_map(|id| self.attempts.get(id)).all(|attempt| {
+            attempt.run_since.is_none() && attempt.stop.is_none() && !attempt.restored
+        })
+    }
+
+    /// Gangs that lack a task and find no place for it begin anew, rather than hold
+    /// machines until they give up by themselves.
+    fn end_incomplete(&mut self, now: f64) {
+        let gangs = self.jobs.iter().filter(|(_, job)| {
+            let waits_s = job.waits_since.map_or(0.0, |since| now - since);
+            job.is_gang() && !job.live.is_empty() && !job.pending.is_empty() && waits_s > REPLACE_S
+        });
+        for ix in gangs.map(|(ix, _)| *ix).collect::<Vec<_>>() {
+            self.stop_gang(ix, StopWhy::Regroup);
+        }
+    }
+
+    /// Stops all tasks of a gang that are not being stopped yet: one decision for all,
+    /// sent to all at once.
+    fn stop_gang(&mut self, job_ix: u32, why: StopWhy) {
+        let Some(job) = self.jobs.get(&job_ix) else { return };
+        for id in &job.live {
+            if let Some(attempt) = self.attempts.get_mut(id) {
+                attempt.stop.get_or_insert(why);
+                self.direct_wanted.insert(attempt.machine);
+            }
+        }
+    }
+
     /// The room of an attempt is free: its release is committed, or it never was.
     fn free(&mut self, id: u64, outcome: Outcome, now: f64) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         if let Some(machine) = self.know.machines.get_mut(&attempt.machine) {
-            machine.attempts.retain(|other| *other != id);
+            machine.attempts.remove(&id);
             machine.used -= attempt.room;
             if machine.attempts.is_empty() {
                 machine.idle_since = now;
@@ -515,6 +564,7 @@
         }
         if let Some(job) = self.jobs.get_mut(&attempt.job) {
             self.teams[job.team as usize].used -= attempt.room;
+            job.uncommitted -= u32::from(attempt.phase == Phase::Proposed);
             job.live.remove(&id);
             job.count_zone(attempt.zone, -1);
             if outcome != Outcome::Done {
@@ -560,7 +610,7 @@
     /// one: that is how they find one another.
     fn number(&self, id: u64) -> u64 {
         let attempt = &self.attempts[&id];
-        let gang = self.jobs.get(&attempt.job).is_some_and(|job| job.spec.kind == Kind::Gang);
+        let gang = self.jobs.get(&attempt.job).is_some_and(Job::is_gang);
         if gang { id - u64::from(attempt.index) } else { id }
     }
 
@@ -568,7 +618,7 @@
     fn attempt_of(&self, reported: &TaskReport) -> u64 {
         let job = self.job_names.get(&reported.task.job).and_then(|ix| self.jobs.get(&ix));
         match job {
-            Some(job) if job.spec.kind == Kind::Gang => {
+            Some(job) if job.is_gang() => {
                 reported.attempt.saturating_add(u64::from(reported.task.index))
             }
             _ => reported.attempt,
@@ -638,6 +688,8 @@
             self.restart_slow(now, options);
             self.make_room(now, options);
             self.count_spend(now);
+            self.end_incomplete(now);
+            self.keep_standby(now);
             self.size_fleet(now, options);
         }
     }
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -95,8 +95,11 @@
     Slow,
     /// The machine is going away.
     Drained,
-    /// Another task of its gang is gone.
+    /// Another task of its gang is gone, and what has not been saved is lost.
     Regroup,
+    /// Its gang was not complete in time. A fetch goes on to its end, so that the next
+    /// attempt finds the image; stopped before, the gang might never meet.
+    Incomplete,
 }
 
 /// A task on a machine.
@@ -169,6 +172,10 @@
     pub restarts: u32,
     /// Attempts, releasing ones included.
     pub live: BTreeSet<u64>,
+    /// How many of them are not committed yet.
+    pub uncommitted: u32,
+    /// The number that the tasks of a gang share, as long as any of them is on a machine.
+    pub number: u64,
     /// How many of them there are in each zone.
     pub by_zone: Vec<u32>,
     /// How many are on machines whose zone is not known.
@@ -218,6 +225,8 @@
             restarted: Bits::default(),
             restarts: 0,
             live: BTreeSet::new(),
+            uncommitted: 0,
+            number: 0,
             by_zone: Vec::new(),
             zone_unknown: 0,
             told_at: BTreeMap::new(),
@@ -238,6 +247,11 @@
         self.fate == Some(JobState::Cancelled) || self.called_off
     }
 
+    /// Whether its tasks run together or not at all.
+    pub fn is_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang
+    }
+
     /// Whether it needs nothing more: final, or all of its tasks done.
     pub fn over(&self) -> bool {
         self.fate.is_some() || self.called_off || self.done.count() == self.spec.tasks
@@ -321,11 +335,21 @@
                 .is_some_and(|within| fetch_s > 0.6 * within && now - self.known_at < 0.5 * within)
     }
 
+    /// Whether its users want its tasks to start within a time.
+    pub fn awaited(&self, params: &Params) -> bool {
+        let mut aims = params.objectives.iter();
+        aims.any(|aim| aim.kind == "wait" && aim.class.as_deref() == Some(&self.spec.class))
+    }
+
     /// How long a task may take to save when it is stopped.
     pub fn grace(&self, why: StopWhy) -> f64 {
-        // Room made for others is wanted at once, and the victim was chosen for how
-        // little it loses since its last checkpoint.
-        let at_once = matches!(why, StopWhy::Cancelled | StopWhy::Preempted);
+        let at_once = match why {
+            // Room made for others is wanted at once, and the victim was chosen for how
+            // little it loses since its last checkpoint. A gang is stopped last.
+            StopWhy::Preempted => self.spec.kind != Kind::Gang,
+            StopWhy::Cancelled | StopWhy::Regroup | StopWhy::Incomplete => true,
+            StopWhy::Slow | StopWhy::Drained => false,
+        };
         let saves = self.spec.checkpoint_s > 0.0 && !at_once;
         // More than the task asks for, so that a slower save is not cut off.
         if saves { self.spec.save_s * 1.5 + 1.0 } else { 0.0 }
@@ -371,8 +395,8 @@
     /// When it last reported by itself, and in which session. Answers to direct
     /// requests renew no lease.
     pub reported: (f64, u64),
-    /// Answers to direct requests since then.
-    pub answers: u32,
+    /// Since when it has answered direct requests without reporting.
+    pub answers_since: Option<f64>,
     /// From when silence counts: the last report, or the takeover.
     pub quiet_since: f64,
     /// When the cloud takes it, if it said so.
@@ -393,6 +417,8 @@
     pub gone: bool,
     /// Whether operators want it drained.
     pub drained: bool,
+    /// Whether it is kept for gangs that should start at once.
+    pub standby: bool,
     /// Failures in a row.
     pub failures: u32,
     /// Not used for new work before this time.
@@ -400,7 +426,7 @@
     /// Since when it has no attempt.
     pub idle_since: f64,
     /// Attempts on it.
-    pub attempts: Vec<u64>,
+    pub attempts: BTreeSet<u64>,
     /// What they take.
     pub used: Room,
     /// What the last answer to its report was to bring about.
@@ -440,7 +466,7 @@
             token: 0,
             heard_at: None,
             reported: (now, 0),
-            answers: 0,
+            answers_since: None,
             quiet_since: now,
             leaves_at: None,
             born: now,
@@ -451,10 +477,11 @@
             delete_sent: false,
             gone: false,
             drained: false,
+            standby: false,
             failures: 0,
             hold_until: 0.0,
             idle_since: now,
-            attempts: Vec::new(),
+            attempts: BTreeSet::new(),
             used: Room::default(),
             awaited: Awaited::default(),
             strikes: 0,
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,7 +1,7 @@
 //! Workers' reports and the commands that answer them.
 
 use super::{
-    Leader, Machine, Phase, StopWhy,
+    Job, Leader, Machine, Phase, StopWhy,
     model::{Awaited, Outcome},
 };
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
@@ -64,8 +64,7 @@
             machine.leaves_at = Some(now + notice);
             self.know.leaving.insert(ix);
         }
-        let stale: Vec<u64> = machine.attempts.clone();
-        for id in stale {
+        for id in machine.attempts.clone() {
             if self.attempts.get(&id).is_some_and(|attempt| attempt.session < report.session) {
                 // A newer session: the worker has killed and forgotten everything before it.
                 self.release(id, Outcome::Again);
@@ -75,15 +74,22 @@
         Some(ix)
     }
 
+    /// Takes in that a report came, whatever is answered to it: its machine reaches a
+    /// controller. While leases may not be renewed, that is all that is known.
+    pub fn note_report(&mut self, now: f64, report: &Report) {
+        let ix = self.know.machine_names.get(report.machine.as_str());
+        if let Some(machine) = ix.and_then(|ix| self.know.machines.get_mut(&ix)) {
+            machine.reported = (now, report.session.max(machine.reported.1));
+            machine.answers_since = None;
+        }
+    }
+
     /// Takes in a report and answers it. `may_start` is false while nothing new
     /// may be started, since the store was not heard of for too long.
     pub fn on_report(&mut self, now: f64, report: &Report, may_start: bool) -> ReportAnswer {
         let mut answer = ReportAnswer { token: self.token, commands: Vec::new() };
         let Some(ix) = self.learn_report(now, report) else { return answer };
-        if let Some(machine) = self.know.machines.get_mut(&ix) {
-            machine.reported = (now, report.session);
-            machine.answers = 0;
-        }
+        self.note_report(now, report);
         // A report under our token was made after the worker saw it, so commands
         // of older tokens are dead; and since the worker has one report in flight
         // and takes answers in turn, so are our own earlier answers.
@@ -169,16 +175,23 @@
             return;
         }
         let task = TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index };
+        // Of a gang that is done, some tasks may not have reported their end.
+        let job = self.jobs.get(&attempt.job);
+        let over = job.is_none_or(Job::over);
+        // A gang whose commit takes several transactions is sent out once all are made.
+        let uncommitted = job.is_some_and(|job| job.is_gang() && job.uncommitted > 0);
         let Some(reported) = reported else {
             let starting = may_start
                 && !self.fence
+                && !over
+                && !uncommitted
                 && attempt.stop.is_none()
                 && self.know.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
             if starting {
                 commands.push(Command::Start { task, attempt: self.number(id) });
             } else if settled
                 && !self.know.machines.get(&attempt.machine).is_some_and(|m| m.may_still_start(id))
-                && (attempt.stop.is_some() || !may_start_ever(self, id))
+                && (attempt.stop.is_some() || over || !may_start_ever(self, id))
             {
                 // Not there, and no command that could still start it.
                 self.release(id, Outcome::Again);
@@ -190,7 +203,12 @@
         }
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let Some(why) = attempt.stop else { return };
-        if reported.state == TaskState::Saving && why != StopWhy::Cancelled {
+        let waits = match reported.state {
+            TaskState::Saving => why != StopWhy::Cancelled,
+            TaskState::Fetching => why == StopWhy::Incomplete,
+            _ => false,
+        };
+        if waits {
             return;
         }
         attempt.stop_sent += 1;
@@ -205,11 +223,23 @@
             return true;
         }
         attempt.seen = Some(reported.state);
-        if matches!(reported.state, TaskState::Running | TaskState::Saving) {
-            if attempt.run_since.is_none() {
+        let (job_ix, stop) = (attempt.job, attempt.stop);
+        if reported.state == TaskState::Saving
+            && stop.is_none()
+            && self.jobs.get(&job_ix).is_some_and(Job::is_gang)
+        {
+            // An earlier leader began to stop its gang: what it has saved counts only if
+            // all hear of it in time.
+            self.stop_gang(job_ix, StopWhy::Drained);
+        }
+        let Some(attempt) = self.attempts.get_mut(&id) else { return true };
+        let has_image =
+            matches!(reported.state, TaskState::Waiting | TaskState::Running | TaskState::Saving);
+        if has_image {
+            if reported.state != TaskState::Waiting && attempt.run_since.is_none() {
                 tracing::debug!(task = %reported.task, "runs");
+                attempt.run_since = Some(now);
             }
-            attempt.run_since.get_or_insert(now);
             let image = self.jobs.get(&attempt.job).map(|job| job.image);
             if let (Some(image), Some(machine)) =
                 (image, self.know.machines.get_mut(&attempt.machine))
@@ -234,7 +264,8 @@
         settled: bool,
         commands: &mut Vec<Command>,
     ) {
-        if self.attempts.contains_key(&attempt) || !settled {
+        // A task of a gang may have been placed anew under its number, elsewhere.
+        if self.attempts.get(&attempt).is_some_and(|a| a.machine == machine) || !settled {
             return;
         }
         let (task_id, number) = (task.task.clone(), task.attempt);
@@ -264,7 +295,14 @@
                 job.hold_until = now + 1.0;
                 Outcome::Again
             }
-            Some(Cause::PeersGone | Cause::Alone) => Outcome::Again,
+            Some(Cause::PeersGone) => {
+                self.stop_gang(job_ix, StopWhy::Regroup);
+                Outcome::Again
+            }
+            Some(Cause::Alone) => {
+                self.stop_gang(job_ix, StopWhy::Incomplete);
+                Outcome::Again
+            }
             Some(Cause::Done) => {
                 machine.failures = 0;
                 job.failures = 0;
@@ -283,6 +321,7 @@
             }
             Some(Cause::Error) => {
                 self.know.counts.failures += 1;
+                let gang = job.is_gang();
                 job.failures += 1;
                 job.failed_on.insert(machine_ix);
                 // A large job has tasks on faulty machines as well; what fails by itself
@@ -317,6 +356,10 @@
                         self.know.leaving.insert(machine_ix);
                     }
                 }
+                if gang {
+                    // It had started, so the others end as well.
+                    self.stop_gang(job_ix, StopWhy::Regroup);
+                }
                 Outcome::Again
             }
             Some(Cause::NoRoom | Cause::Busy | Cause::Unknown | Cause::Other) | None => {
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,6 +1,6 @@
 //! A round of decisions: restarts, placements, preemption.
 
-use super::{Attempt, Leader, Phase, StopWhy, model::Outcome};
+use super::{Attempt, Job, Leader, Phase, StopWhy, model::Outcome};
 use crate::options::Options;
 use gladekeel_sched::{
     place,
@@ -14,6 +14,11 @@
 const STOPPING: usize = 20;
 /// A job that has waited for longer with nothing on any machine goes first.
 const PATIENCE_S: f64 = 60.0;
+/// A job that has waited for longer with nothing on any machine may use what is kept for
+/// gangs.
+const STARVED_S: f64 = 75.0;
+/// Gangs for which room is sought among what could be stopped, in one round.
+const GANGS_AT_ONCE: usize = 4;
 /// Rounds in which the search for slow machines comes around.
 const SLOW_ROUNDS: usize = 5;
 
@@ -45,8 +50,13 @@
             let (job, machine) = (picture.jobs[placement.job], picture.machines[placement.machine]);
             let gang = picture.round.jobs[placement.job].gang.then(|| {
                 *gangs.entry(job).or_insert_with(|| {
+                    let gang = &self.jobs[&job];
+                    if !gang.live.is_empty() {
+                        // A task that is gone is replaced; the others wait for it.
+                        return gang.number;
+                    }
                     let first = self.next_attempt;
-                    self.next_attempt += u64::from(self.jobs[&job].spec.tasks);
+                    self.next_attempt += u64::from(gang.spec.tasks);
                     first
                 })
             });
@@ -68,6 +78,12 @@
         let late_s = self.params.workers.late_s();
         let zones = self.zones.keys().copied();
         let quiet: BTreeSet<u32> = zones.filter(|zone| self.is_quiet(*zone, now)).collect();
+        // What is kept for gangs is given up before anybody has waited too long for it.
+        let starved = self.jobs.values().any(|job| {
+            let waits =
+                !job.over() && !job.is_gang() && job.live.is_empty() && now >= job.hold_until;
+            waits && job.waits_since.is_some_and(|since| now - since > STARVED_S)
+        });
         for (ix, machine) in &self.know.machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let Some(whole) = self.catalog.room(kind) else { continue };
@@ -95,6 +111,7 @@
                 ready: machine.ready.iter().copied().collect(),
                 fetching: machine.fetches(&self.attempts),
                 open,
+                standby: machine.standby && !starved,
             });
         }
         for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
@@ -122,8 +139,10 @@
                 zone_cap: if job.spec.spread { job.spec.tasks.div_ceil(2) } else { u32::MAX },
                 spot: job.spec.spot,
                 by_zone: job.by_zone.clone(),
-                gang: job.spec.kind == Kind::Gang,
-                hurried: job.hurried(&self.params, self.fetch_s(job), now),
+                gang: job.is_gang(),
+                completes: !job.live.is_empty() && self.still_waits(*ix),
+                // A gang looks for the image before all else, in any case.
+                hurried: !job.is_gang() && job.hurried(&self.params, self.fetch_s(job), now),
                 overdue: (waited - PATIENCE_S).max(0.0).ceil() as u32,
             });
         }
@@ -142,6 +161,8 @@
         let id = gang.map_or(self.next_attempt, |first| first + u64::from(index));
         self.next_attempt += u64::from(gang.is_none());
         job.live.insert(id);
+        job.uncommitted += 1;
+        job.number = gang.unwrap_or(id);
         job.count_zone(machine.zone, 1);
         if job.pending.is_empty() {
             job.waits_since = None;
@@ -152,7 +173,7 @@
             .map_or(0.0, |machine_type| machine_type.cache_gb);
         let cached = machine.images.iter().any(|(image, _)| *image == job.image);
         machine.used_image(job.image, job.spec.image_gb, cache);
-        machine.attempts.push(id);
+        machine.attempts.insert(id);
         machine.used += job.room;
         self.teams[job.team as usize].used += job.room;
         self.attempts.insert(
@@ -249,7 +270,7 @@
         let most = (picture.machines.len() / STOPPING).max(8);
         let index: HashMap<u32, usize> =
             picture.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
-        let mut victims = Vec::new();
+        let (mut victims, mut whole) = (Vec::new(), BTreeMap::new());
         for (id, attempt) in &self.attempts {
             let Some(at) = index.get(&attempt.machine) else { continue };
             let job = &self.jobs[&attempt.job];
@@ -257,14 +278,12 @@
                 picture.round.machines[*at].free += attempt.room;
                 picture.round.teams[job.team as usize].used -= attempt.room;
             } else if attempt.phase == Phase::Live
-                // One task of a gang cannot be stopped without losing all, and what was
-                // stopped before would never get anywhere.
-                && job.spec.kind != Kind::Gang
+                // What was stopped before would never get anywhere.
                 && !job.displaced.has(attempt.index)
             {
                 let ran = attempt.run_since.map_or(0.0, |since| now - since);
                 let saved = job.spec.checkpoint_s;
-                victims.push(Victim {
+                let victim = Victim {
                     id: *id,
                     machine: *at,
                     team: job.team,
@@ -273,20 +292,38 @@
                     // What was saved is not lost. Work counts by the room it takes.
                     loss: if saved > 0.0 { ran % saved } else { ran } * job.spec.cpus,
                     saves: saved > 0.0,
-                });
+                };
+                if !job.is_gang() {
+                    victims.push(victim);
+                } else if job.pending.is_empty() && self.all_heard(job, now) {
+                    // One task of a gang cannot be stopped without all.
+                    let loss = victim.loss * f64::from(job.spec.tasks);
+                    whole
+                        .entry((attempt.job, *at))
+                        .and_modify(|all: &mut Victim| all.task += attempt.room)
+                        .or_insert(Victim { loss, ..victim });
+                }
             }
         }
         let mut victims = Victims::new(picture.machines.len(), victims);
         picture.round.place(&options.hopper);
-        let mut stopped = Vec::new();
+        let (mut stopped, mut gangs) = (Vec::new(), 0);
         for at in picture.round.order() {
             let ix = picture.jobs[at];
             let job = &picture.round.jobs[at];
-            if job.gang || job.pending == 0 || stopped.len() >= most || !waiting(self, ix) {
+            if job.pending == 0 || stopped.len() >= most || !waiting(self, ix) {
                 continue;
             }
             // Tasks that lose little are stopped soon, others after a longer wait.
             let patient = waited(self, ix).unwrap_or(0.0) < options.preempt_after_s;
+            if job.gang {
+                if job.pending == job.remaining && gangs < GANGS_AT_ONCE {
+                    gangs += 1;
+                    let left = most - stopped.len();
+                    stopped.extend(victims.stop_for_gang(&mut picture.round, at, left, patient));
+                }
+                continue;
+            }
             let hurried = job.hurried;
             stopped.extend(victims.stop_for(&mut picture.round, at, most - stopped.len(), patient));
             if hurried
@@ -298,6 +335,27 @@
                 self.round_wanted = true;
             }
         }
+        if stopped.is_empty() {
+            // Gangs are stopped last, one at a time, and each as a whole.
+            let mut whole = Victims::new(picture.machines.len(), whole.into_values());
+            let order = picture.round.order();
+            let claimant = order.into_iter().find(|at| {
+                let waited = waited(self, picture.jobs[*at]).unwrap_or(0.0);
+                let job = &picture.round.jobs[*at];
+                job.pending > 0 && !job.gang && waited >= options.preempt_after_s
+            });
+            if let Some(at) = claimant
+                && let Some(id) = whole.stop_for(&mut picture.round, at, 1, false).first()
+            {
+                let ix = self.attempts[id].job;
+                self.know.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
+                if let Some(job) = self.jobs.get_mut(&ix) {
+                    (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
+                }
+                tracing::info!(job = %self.job_names.name(ix), "a gang is stopped to make room");
+                self.stop_gang(ix, StopWhy::Preempted);
+            }
+        }
         for id in stopped {
             if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.stop = Some(StopWhy::Preempted);
@@ -347,7 +405,10 @@
             }
         }
         for id in stop {
-            if let Some(attempt) = self.attempts.get_mut(&id) {
+            let job = self.attempts.get(&id).map(|attempt| attempt.job);
+            if let Some(job) = job.filter(|job| self.jobs.get(job).is_some_and(Job::is_gang)) {
+                self.stop_gang(job, StopWhy::Drained);
+            } else if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.stop = Some(StopWhy::Drained);
                 self.direct_wanted.insert(attempt.machine);
             }
@@ -370,13 +431,28 @@
             return false;
         };
         let Some(left_s) = machine.leaves_at.map(|at| at - now) else {
-            return machine.drained && job.spec.checkpoint_s > 0.0 && attempt.seen.is_some();
+            return machine.drained
+                && job.spec.checkpoint_s > 0.0
+                && attempt.seen.is_some()
+                && (!job.is_gang() || self.all_heard(job, now));
         };
-        if job.spec.kind == Kind::Gang {
-            return false;
-        }
         let run_s = job.median().unwrap_or_else(|| self.expected_run(job));
         let ran = attempt.run_since.map_or(0.0, |since| now - since);
-        run_s - ran > left_s - 0.5
+        let too_long = run_s - ran > left_s - 0.5;
+        if !job.is_gang() || job.spec.checkpoint_s == 0.0 {
+            return too_long;
+        }
+        // A gang with too little time to save would fall back to its last checkpoint by
+        // being stopped as by losing the machine; running on it may reach another one.
+        too_long && left_s > job.grace(StopWhy::Drained) && self.all_heard(job, now)
+    }
+
+    /// Whether all machines of a gang are heard, so that a stop reaches all its tasks.
+    fn all_heard(&self, job: &Job, now: f64) -> bool {
+        let late_s = self.params.workers.late_s();
+        job.live.iter().filter_map(|id| self.attempts.get(id)).all(|attempt| {
+            let machine = self.know.machines.get(&attempt.machine);
+            machine.is_some_and(|m| now - m.quiet_since < late_s && m.strikes == 0)
+        })
     }
 }
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -476,6 +476,9 @@
             Ok(report) => report,
             Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
         };
+        if let Some(leader) = &mut self.leader {
+            leader.note_report(now, &report);
+        }
         let elsewhere = self.leader_elsewhere(now).map(str::to_owned);
         let relay = self.peers.iter().position(|peer| {
             Some(&peer.name) == elsewhere.as_ref()
@@ -575,7 +578,10 @@
 
     /// A leader that hears none of its workers cannot do its work; another may.
     fn resign_if_deaf(&mut self, now: f64) {
-        let Some(leader) = &self.leader else { return };
+        // While the state service is out of reach nobody could follow, and somebody must
+        // delete the machines that hold cancelled tasks.
+        let fresh = self.fresh(now);
+        let Some(leader) = self.leader.as_ref().filter(|_| fresh) else { return };
         let (all, quiet) = leader.silence(now);
         let workers = &self.params.workers;
         // Of many machines some reports are due at any time.
--- a/crates/gladekeel-sched/src/fleet.rs
+++ b/crates/gladekeel-sched/src/fleet.rs
@@ -11,6 +11,8 @@
     pub run_s: f64,
     /// Time left until the job should be complete.
     pub left_s: f64,
+    /// Whether what is pending runs at once or not at all.
+    pub together: bool,
 }
 
 impl Need {
@@ -131,7 +133,13 @@
         let pending: f64 = needs.iter().map(|need| need.pending).sum();
         self.busy = self.busy * weight + running * (1.0 - weight);
         let lost = self.busy.min(running + pending) - supply.up - supply.booting.len() as f64;
-        let rent = rent.max(lost.floor());
+        // What runs together needs room beside all that runs, however soon that ends.
+        let together: f64 =
+            needs.iter().filter(|need| need.together).map(|need| need.pending).sum();
+        let have = supply.up + supply.booting.len() as f64;
+        let beside = if together > 0.0 { running + together - have } else { 0.0 };
+        let rent = rent.max(lost.floor()).max(beside.ceil());
+        let need = need.max(running + together);
         self.load = self.load * weight + need * (1.0 - weight);
         self.at = now;
         Plan { rent, need, keep: need.max(self.load * sizing.keep) }
@@ -151,7 +159,7 @@
 
     #[test]
     fn what_fits_before_it_is_due_needs_no_machine() {
-        let need = |left_s| Need { pending: 10.0, running: 0.0, run_s: 30.0, left_s };
+        let need = |left_s| Need { pending: 10.0, run_s: 30.0, left_s, ..Need::default() };
         assert_eq!(plan(&[need(150.0)], 2.0, &[]).rent, 0.0);
         assert_eq!(plan(&[need(150.0)], 0.0, &[]).rent, 3.0);
         assert_eq!(plan(&[need(150.0)], 0.0, &[50.0, 50.0]).rent, 1.0);
@@ -162,9 +170,18 @@
         assert_eq!(plan(&[Need { running: 4.0, ..need(900.0) }], 4.0, &[]).need, 4.0);
     }
 
+    #[test]
+    fn a_gang_needs_its_machines_at_once() {
+        let need = |together| Need { pending: 6.2, run_s: 15.0, together, ..Need::default() };
+        let others = Need { running: 2.0, run_s: 15.0, left_s: 900.0, ..Need::default() };
+        let late = |together| plan(&[Need { left_s: 900.0, ..need(together) }, others], 5.0, &[]);
+        assert_eq!(late(false).rent, 0.0, "its tasks can run one after the other");
+        assert_eq!((late(true).rent, late(true).need), (4.0, 8.2));
+    }
+
     #[test]
     fn what_will_come_and_be_due_sooner_counts() {
-        let need = [Need { pending: 10.0, running: 0.0, run_s: 30.0, left_s: 150.0 }];
+        let need = [Need { pending: 10.0, run_s: 30.0, left_s: 150.0, ..Need::default() }];
         let supply = Supply { up: 2.0, booting: Vec::new() };
         let rent = |due_s| {
             let flows = [Flow { machines: 4.0, due_s }];
@@ -178,7 +195,9 @@
     fn lost_machines_are_replaced_while_there_is_work_for_them() {
         let plan = |pending: f64, up: f64| {
             let mut sizer = Sizer::default();
-            let need = |running, pending| [Need { pending, running, run_s: 30.0, left_s: 900.0 }];
+            let need = |running, pending| {
+                [Need { pending, running, run_s: 30.0, left_s: 900.0, together: false }]
+            };
             let supply = |up| Supply { up, booting: Vec::new() };
             for second in 0..600 {
                 let now = f64::from(second);
@@ -195,7 +214,7 @@
     #[test]
     fn lulls_are_believed_slowly() {
         let mut sizer = Sizer::default();
-        let needs = [Need { pending: 10.0, running: 0.0, run_s: 30.0, left_s: 0.0 }];
+        let needs = [Need { pending: 10.0, run_s: 30.0, ..Need::default() }];
         for second in 0..200 {
             sizer.plan(f64::from(second), &needs, &Supply::default(), &[], 50.0, &SIZING);
         }
--- a/crates/gladekeel-sched/src/index.rs
+++ b/crates/gladekeel-sched/src/index.rs
@@ -47,6 +47,7 @@
 pub(crate) struct Index {
     shelves: Vec<Shelf>,
     shelf_of: Vec<Option<usize>>,
+    closed: BTreeSet<usize>,
     calm: Rows,
     busy: Rows,
     /// Machines that were looked at.
@@ -70,8 +71,8 @@
         let mut numbers: BTreeMap<Shelf, usize> = BTreeMap::new();
         let mut index = Index { shelf_of: vec![None; machines.len()], ..Index::default() };
         for (at, machine) in machines.iter().enumerate() {
-            // What cannot take the smallest task takes none.
-            if !machine.open || !least.fits(machine.free) {
+            // What cannot take the smallest task takes none. Gangs do not come here.
+            if !machine.open || machine.standby || !least.fits(machine.free) {
                 continue;
             }
             let shelf = Shelf { kind: machine.kind, zone: machine.zone, spot: machine.spot };
@@ -173,8 +174,14 @@
         }
     }
 
+    /// Whether a machine was closed.
+    pub fn is_closed(&self, at: usize) -> bool {
+        self.closed.contains(&at)
+    }
+
     /// A machine takes nothing more.
     pub fn close(&mut self, at: usize, machine: &Machine) {
+        self.closed.insert(at);
         let Some(shelf) = self.shelf_of.get_mut(at).and_then(Option::take) else { return };
         let key = (machine.free.cpus, at as u32);
         let images = self.ready.values_mut().chain(self.begun.values_mut());
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -27,6 +27,8 @@
     pub fetching: bool,
     /// Whether it takes new work now.
     pub open: bool,
+    /// Whether it is kept for gangs.
+    pub standby: bool,
 }
 
 /// A team's bounds and use, in CPUs and GPUs.
@@ -93,6 +95,8 @@
     pub by_zone: Vec<u32>,
     /// All of its tasks start together or none does.
     pub gang: bool,
+    /// A gang that waits for tasks in place of ones that are gone.
+    pub completes: bool,
     /// For how long it has waited too long, in seconds, with nothing on any machine:
     /// the longest goes first.
     pub overdue: u32,
@@ -138,6 +142,20 @@
     Share,
 }
 
+/// A machine as a place for tasks of a gang, the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Seat {
+    /// How far the image is: there, on the way, to be fetched, sharing the rate.
+    fetch: u8,
+    /// It is not kept for gangs.
+    shared: bool,
+    /// It is no spot machine.
+    dear: bool,
+    few: std::cmp::Reverse<u32>,
+    free: i64,
+    at: usize,
+}
+
 /// Placing under way.
 struct Placing<'a> {
     round: &'a mut Round,
@@ -208,6 +226,25 @@
         targets
     }
 
+    /// Counts a job's tasks on free room, as far as they fit.
+    pub(crate) fn take_free(&mut self, index: usize) {
+        for at in 0..self.machines.len() {
+            let (job, machine) = (&self.jobs[index], &self.machines[at]);
+            let team = &self.teams[job.team as usize];
+            if !machine.open || !self.allowed(job, machine) {
+                continue;
+            }
+            let mut tasks = job.task.times_in(machine.free, job.pending);
+            while tasks > 0 && !team.allows(job.task * i64::from(tasks)) {
+                tasks -= 1;
+            }
+            let (task, team) = (job.task * i64::from(tasks), job.team as usize);
+            self.machines[at].free -= task;
+            self.teams[team].used += task;
+            self.jobs[index].pending -= tasks;
+        }
+    }
+
     /// Whether the job's rules allow a further task on the machine.
     fn allowed(&self, job: &Job, machine: &Machine) -> bool {
         (!job.hurried || machine.ready.contains(&job.image))
@@ -319,19 +356,92 @@
     /// Places all of a gang's tasks, or none.
     fn place_gang(&mut self, index: usize, claimed: Claimed) -> bool {
         let job = &self.round.jobs[index];
-        if job.pending == 0 || job.pending < job.remaining {
+        // A round that is full takes no more, but one gang may be more than a round.
+        let late =
+            !self.placed.is_empty() && self.placed.len() + job.pending as usize > self.round.most;
+        let team = &self.round.teams[job.team as usize];
+        let all = job.task * i64::from(job.pending);
+        if job.pending == 0
+            || (job.pending < job.remaining && !job.completes)
+            || late
+            || !team.allows(all)
+            || (claimed == Claimed::Guarantee && !team.guarantees(all))
+        {
             return false;
         }
-        let (restarts, before) = (job.restarts, self.placed.len());
-        self.place(index, u32::MAX, claimed, false);
-        let whole = self.round.jobs[index].pending == 0;
-        if !whole {
-            for placement in self.placed.split_off(before).into_iter().rev() {
-                self.untake(index, placement.machine);
+        let Some(chosen) = self.seats(index) else { return false };
+        for (machine, tasks) in chosen {
+            for _ in 0..tasks {
+                self.take(index, machine, false);
+                self.placed.push(Placement { job: index, machine });
+            }
+        }
+        true
+    }
+
+    /// The machines for a whole gang, with how many of its tasks each takes; none if it
+    /// does not fit as things are.
+    fn seats(&mut self, index: usize) -> Option<Vec<(usize, u32)>> {
+        let job = &self.round.jobs[index];
+        let mut fitting: Vec<(Seat, u32)> = Vec::new();
+        for (at, machine) in self.round.machines.iter().enumerate() {
+            self.index.looked += 1;
+            if !machine.open || self.index.is_closed(at) || !self.round.allowed(job, machine) {
+                continue;
+            }
+            let fits = job.task.times_in(machine.free, job.pending);
+            if fits == 0 {
+                continue;
+            }
+            let ready = machine.ready.contains(&job.image);
+            let begun = machine.images.contains(&job.image);
+            let seat = Seat {
+                fetch: match (ready, begun, machine.fetching) {
+                    (true, ..) => 0,
+                    (_, true, _) => 1,
+                    (_, _, false) => 2,
+                    _ => 3,
+                },
+                shared: !machine.standby,
+                dear: !machine.spot,
+                // Fewer machines: each may be lost, or turn out to be slow.
+                few: std::cmp::Reverse(fits),
+                free: machine.free.cpus,
+                at,
+            };
+            fitting.push((seat, fits));
+        }
+        fitting.sort_unstable();
+        let zones: std::collections::BTreeSet<u32> =
+            fitting.iter().map(|(seat, _)| self.round.machines[seat.at].zone).collect();
+        let choose = |only: Option<u32>| {
+            let (mut left, mut chosen, mut worst) = (job.pending, Vec::new(), (0, 0));
+            let mut by_zone = job.by_zone.clone();
+            for (seat, fits) in &fitting {
+                let zone = self.round.machines[seat.at].zone;
+                if left == 0 || only.is_some_and(|only| only != zone) {
+                    continue;
+                }
+                let zone = zone as usize;
+                if by_zone.len() <= zone {
+                    by_zone.resize(zone + 1, 0);
+                }
+                let tasks = (*fits).min(left).min(job.zone_cap.saturating_sub(by_zone[zone]));
+                if tasks > 0 {
+                    by_zone[zone] += tasks;
+                    left -= tasks;
+                    chosen.push((seat.at, tasks));
+                    // It starts when the last of its tasks has the image.
+                    worst = (worst.0.max(seat.fetch), worst.1 + 1);
+                }
             }
-            self.round.jobs[index].restarts = restarts;
+            (left == 0).then_some((worst, chosen))
+        };
+        if !job.one_zone {
+            return choose(None).map(|(_, chosen)| chosen);
         }
-        whole
+        let whole = zones.iter().filter_map(|zone| choose(Some(*zone)));
+        whole.min_by_key(|(worst, _)| *worst).map(|(_, chosen)| chosen)
     }
 
     /// Places up to so many of a job's tasks, with `cached` only on machines that have
@@ -379,18 +489,6 @@
         job.pending -= 1;
         job.restarts -= u32::from(restart);
     }
-
-    /// Takes a placement back. That the machine would have fetched the image does no
-    /// harm: it only makes the machine look better for the same job.
-    fn untake(&mut self, index: usize, at: usize) {
-        let (job, machine) = (&mut self.round.jobs[index], &mut self.round.machines[at]);
-        let before = machine.free;
-        machine.free += job.task;
-        self.index.moved(at, machine, before);
-        self.round.teams[job.team as usize].used -= job.task;
-        job.by_zone[machine.zone as usize] -= 1;
-        job.pending += 1;
-    }
 }
 
 #[cfg(test)]
@@ -412,6 +510,7 @@
             ready: Vec::new(),
             fetching: false,
             open: true,
+            standby: false,
         }
     }
 
@@ -431,6 +530,7 @@
             spot: true,
             by_zone: Vec::new(),
             gang: false,
+            completes: false,
             overdue: 0,
             hurried: false,
         }
@@ -539,6 +639,67 @@
         assert_eq!(place(1, &gang), [0, 2], "what can never hold it need not be kept for it");
     }
 
+    #[test]
+    fn gangs_of_one_zone_take_the_zone_that_holds_them_whole() {
+        let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
+        machines[0].ready = vec![0];
+        let mut gang = job(0, 16.0, 4);
+        (gang.gang, gang.one_zone) = (true, true);
+        let place = |gang: &Job| {
+            let teams = vec![team(0.0, 1000.0)];
+            let mut round = round(machines.clone(), teams, vec![gang.clone()]);
+            let placed = round.place(&Hopper::default());
+            [0, 1, 2].map(|m| placed.iter().filter(|p| p.machine == m).count())
+        };
+        assert_eq!(place(&gang), [0, 2, 2], "the machine with the image holds half of it");
+        (gang.remaining, gang.pending) = (2, 2);
+        assert_eq!(place(&gang), [2, 0, 0]);
+        (gang.one_zone, gang.zone_cap) = (false, 1);
+        assert_eq!(place(&gang), [1, 1, 0], "scattered");
+    }
+
+    #[test]
+    fn what_a_waiting_gang_lacks_is_placed_beside_the_rest() {
+        let mut gang = job(0, 16.0, 3);
+        (gang.gang, gang.one_zone, gang.pending, gang.by_zone) = (true, true, 1, vec![0, 2]);
+        let place = |gang: &Job| {
+            let machines = vec![machine(0, false), machine(1, false)];
+            let mut round = round(machines, vec![team(0.0, 1000.0)], vec![gang.clone()]);
+            round.place(&Hopper::default())
+        };
+        assert!(place(&gang).is_empty(), "the old attempt is not gone yet");
+        gang.completes = true;
+        assert_eq!(place(&gang), [Placement { job: 0, machine: 1 }]);
+    }
+
+    #[test]
+    fn a_gang_larger_than_a_round_still_starts_whole() {
+        let mut gang = job(0, 4.0, 9);
+        gang.gang = true;
+        let place = |jobs: Vec<Job>| {
+            let mut round = round(vec![machine(0, false); 2], vec![team(0.0, 1000.0)], jobs);
+            round.most = 4;
+            let placed = round.place(&Hopper::default());
+            [0, 1].map(|at| count(&placed, at))
+        };
+        assert_eq!(place(vec![gang.clone()]), [9, 0]);
+        assert_eq!(place(vec![gang, job(0, 4.0, 3)]), [0, 3], "when it is its turn");
+    }
+
+    #[test]
+    fn what_is_kept_for_gangs_is_left_to_them() {
+        let mut machines = vec![machine(0, false); 2];
+        machines[1].standby = true;
+        let mut gang = job(0, 8.0, 2);
+        gang.gang = true;
+        let teams = vec![team(0.0, 1000.0)];
+        let mut round = round(machines, teams, vec![gang, job(0, 8.0, 9)]);
+        let placed = round.place(&Hopper::default());
+        let on =
+            |job: usize, m: usize| placed.iter().filter(|p| p.job == job && p.machine == m).count();
+        assert_eq!([on(0, 0), on(0, 1), on(1, 0), on(1, 1)], [0, 2, 4, 0]);
+    }
+
     #[test]
     fn room_gathers_for_what_has_waited_long() {
         let mut machines = vec![machine(0, false); 2];
@@ -583,7 +744,8 @@
             let images: Vec<u32> = images.into_iter().collect();
             let ready = images.iter().copied().filter(|image| image % 2 == 0).collect();
             let free = Room { cpus: cpus * 4000, gpus: 0, memory: memory * 4000 };
-            Machine { whole: room(32.0), free, kind, zone, spot, images, ready, fetching, open }
+            let machine = machine(zone, spot);
+            Machine { free, kind, images, ready, fetching, open, ..machine }
         });
         prop::collection::vec(one, 0..12)
     }
--- a/crates/gladekeel-sched/src/preempt.rs
+++ b/crates/gladekeel-sched/src/preempt.rs
@@ -4,7 +4,10 @@
     Room,
     place::{Job, Round, Team},
 };
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap},
+};
 
 /// A task on a machine that could be stopped for another.
 #[derive(Debug, Clone, Copy)]
@@ -26,7 +29,7 @@
 }
 
 /// Tasks that could be stopped, by machine.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Victims(Vec<Vec<Victim>>);
 
 /// What making room for a task costs on a machine: work lost, and how many of the
@@ -96,10 +99,48 @@
         stopped
     }
 
+    /// The same for a whole gang, together with what is free, or nothing: half of the
+    /// room would help nobody. Machines that have its image come before others.
+    pub fn stop_for_gang(
+        &mut self,
+        round: &mut Round,
+        index: usize,
+        most: usize,
+        saving: bool,
+    ) -> Vec<u64> {
+        let zones: BTreeSet<u32> = round.machines.iter().map(|machine| machine.zone).collect();
+        let only = |zone: u32| Some(zone);
+        let tries: Vec<Option<u32>> = match round.jobs[index].one_zone {
+            true => zones.into_iter().map(only).collect(),
+            false => vec![round.jobs[index].zone],
+        };
+        for ready in [true, false] {
+            for zone in &tries {
+                let (mut round_then, mut victims_then) = (round.clone(), self.clone());
+                let job = &mut round_then.jobs[index];
+                if job.zone.is_some_and(|own| Some(own) != *zone) {
+                    continue;
+                }
+                let before = (job.zone, job.hurried);
+                (job.zone, job.hurried) = (*zone, ready);
+                round_then.take_free(index);
+                let stopped = victims_then.stop_for(&mut round_then, index, most, saving);
+                if round_then.jobs[index].pending == 0 {
+                    let job = &mut round_then.jobs[index];
+                    (job.zone, job.hurried) = before;
+                    (*round, *self) = (round_then, victims_then);
+                    return stopped;
+                }
+            }
+        }
+        Vec::new()
+    }
+
     fn offer(&self, round: &Round, job: &Job, at: usize, saving: bool) -> Option<Offer> {
         let machine = &round.machines[at];
         let team: &Team = &round.teams[job.team as usize];
         if !machine.open
+            || (machine.standby && !job.gang)
             || self.0[at].is_empty()
             || !team.allows(job.task)
             || !job.task.fits(machine.whole)
@@ -132,6 +173,33 @@
     use super::*;
     use crate::place::tests::{job, machine, room, round, team};
 
+    #[test]
+    fn room_is_made_for_a_whole_gang_or_not_at_all() {
+        let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
+        machines.iter_mut().for_each(|m| m.free = room(16.0));
+        machines[0].ready = vec![0];
+        let victim = |id, machine, loss| Victim {
+            id,
+            machine,
+            team: 0,
+            priority: 1,
+            task: room(16.0),
+            loss,
+            saves: true,
+        };
+        let stop = |tasks: u32| {
+            let mut gang = Job { priority: 2, ..job(0, 16.0, tasks) };
+            (gang.gang, gang.one_zone) = (true, true);
+            let mut round = round(machines.clone(), vec![team(0.0, 1000.0)], vec![gang]);
+            let mut victims =
+                Victims::new(3, [victim(1, 0, 9.0), victim(2, 1, 1.0), victim(3, 2, 2.0)]);
+            victims.stop_for_gang(&mut round, 0, 8, true)
+        };
+        assert_eq!(stop(2), [1], "where the image is, and beside what is free");
+        assert_eq!(stop(3), [2], "the other zone holds it, and little is lost there");
+        assert!(stop(5).is_empty(), "no zone holds it: nothing is stopped in vain");
+    }
+
     #[test]
     fn preemption_takes_lower_priority_or_what_is_borrowed() {
         let mut machines = vec![machine(0, false); 2];
