--- /dev/null
+++ b/crates/gladekeel-controller/tests/production_formats.rs
@@ -0,0 +1,307 @@
+//! What the production version keeps in the state service, read by this one.
+//!
+//! The files in `fixtures` were written by commit
+//! 37c5e95213a12123977e782109b725d8fe96dbed: the values that two of its nodes committed,
+//! key and value on each line, and two segments of its log's writer. An update begins on
+//! such data, and nodes of both versions go on with each other's, so these files never
+//! change with the code.
+
+use gladekeel_controller::{
+    keys::{self, LeaderRecord},
+    log::{Assigned, End, Progress, Released, Segment, Writer, capacity, decode},
+    world::{Topic, World},
+};
+use gladekeel_store::Change;
+use gladekeel_wire::{
+    JobId,
+    cloud::{MachineType, MachineTypes},
+    job::{JobSpec, JobState, Kind, Priority},
+};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+const TOKEN: u64 = 41 << 32;
+
+fn job(id: &str) -> JobId {
+    id.parse().unwrap()
+}
+
+/// The values that production committed, in order.
+fn stored() -> Vec<(String, Value)> {
+    let lines = include_str!("fixtures/production_values.jsonl").lines();
+    lines
+        .map(|line| {
+            let row: Value = serde_json::from_str(line).unwrap();
+            (row["key"].as_str().unwrap().to_owned(), row["value"].clone())
+        })
+        .collect()
+}
+
+fn value(key: &str) -> Value {
+    stored().into_iter().find(|(k, _)| k == key).expect("the fixture has this key").1
+}
+
+fn put(key: &str, value: Value, version: u64) -> Change {
+    Change { key: key.to_owned(), now: Some((value, version)) }
+}
+
+/// The same segment by this version's writer.
+fn encode(segment: &Segment) -> String {
+    let mut writer = Writer::default();
+    for row in &segment.assigned {
+        writer.assign(&row.job, row.index, &row.machine, row.session, row.attempt);
+    }
+    for row in &segment.released {
+        writer.release(&row.job, row.index, row.attempt, row.end);
+    }
+    for row in &segment.progress {
+        writer.progress(&row.job, row.chunk, &row.done, &row.restarted);
+    }
+    writer.encode(segment.seq)
+}
+
+/// Guards against a segment that means something else to the other version: a leader
+/// that misreads one starts tasks twice or loses finished ones.
+#[test]
+fn segments_are_read_and_written_as_production_s() {
+    let text = include_str!("fixtures/production_segment.txt").trim_end();
+    let (a, b) = (job("job-000412"), job("job-a_b.c-9"));
+    let assigned = |job: &JobId, index, machine: &str, session, attempt| Assigned {
+        job: job.clone(),
+        index,
+        machine: machine.into(),
+        session,
+        attempt,
+    };
+    let released =
+        |job: &JobId, index, attempt, end| Released { job: job.clone(), index, attempt, end };
+    let before = 40 << 32;
+    let expected = Segment {
+        seq: 258,
+        assigned: vec![
+            assigned(&a, 0, "n-000001", 1, TOKEN + 1),
+            assigned(&a, 70_000, "n-000002", 3, TOKEN + 2),
+            assigned(&b, 5, "n-000001", 2, TOKEN + 3),
+        ],
+        released: vec![
+            released(&a, 1, before + 7, End::Done),
+            released(&a, 2, before + 8, End::Again),
+            released(&b, 3, before + 9, End::Restart),
+        ],
+        progress: vec![
+            Progress { job: a, chunk: 17, done: vec![0x81, 0, 0xff], restarted: vec![2] },
+            Progress { job: b, chunk: 0, done: vec![], restarted: vec![] },
+        ],
+    };
+    assert_eq!(decode(text), Ok(expected.clone()));
+    assert_eq!(encode(&expected), text);
+}
+
+/// Guards against ends of attempts, and chunks of progress, that are numbered anew.
+#[test]
+fn numbers_in_segments_stay() {
+    assert_eq!([End::Done as u16, End::Again as u16, End::Restart as u16], [1, 2, 3]);
+    assert_eq!(keys::CHUNK, 4096);
+}
+
+/// Guards against a bound on what is read: production filled segments up to 4 KB, and
+/// they are still there when the service takes only 2 KB.
+#[test]
+fn segments_beyond_the_lowered_limit_are_read() {
+    let text = include_str!("fixtures/production_segment_large.txt").trim_end();
+    assert!(text.len() > 2048 && text.len() * 3 / 4 > capacity(2048));
+    let segment = decode(text).expect("production's segment");
+    let a = job("job-000412");
+    let rows: Vec<Assigned> = (0..161)
+        .map(|n| Assigned {
+            job: a.clone(),
+            index: n,
+            machine: format!("n-{:06}", n / 8),
+            session: 1,
+            attempt: TOKEN + u64::from(n),
+        })
+        .collect();
+    let expected = Segment { seq: 259, assigned: rows, ..Segment::default() };
+    assert_eq!(segment, expected);
+    assert_eq!(encode(&expected), text);
+}
+
+/// Guards against a log that a new leader finds under other keys or cannot read: these
+/// are the segments of a job's whole life as production's leader committed them.
+#[test]
+fn a_committed_log_is_read() {
+    let log = |slot| {
+        let key = keys::log(slot);
+        decode(value(&key).as_str().unwrap()).expect("production's segment")
+    };
+    let (first, second) = (log(0), log(1));
+    assert_eq!((first.seq, second.seq), (0, 1));
+    let rows: Vec<(String, u32, u64, &str, u64)> = first
+        .assigned
+        .iter()
+        .map(|row| (row.job.to_string(), row.index, row.attempt, row.machine.as_str(), row.session))
+        .collect();
+    let (a, b) = ("job-000412".to_owned(), "job-a_b.c-9".to_owned());
+    let base = 2 << 24;
+    assert_eq!(
+        rows,
+        [
+            (b, 0, base, "n-000001", 1),
+            (a.clone(), 0, base + 1, "n-000001", 1),
+            (a.clone(), 1, base + 2, "n-000001", 1),
+            (a, 2, base + 3, "n-000001", 1),
+        ]
+    );
+    assert!(first.released.is_empty() && first.progress.is_empty());
+    let done: Vec<(u32, u64, End)> =
+        second.released.iter().map(|row| (row.index, row.attempt, row.end)).collect();
+    assert_eq!(done, [0, 1, 2].map(|n| (n, base + 1 + u64::from(n), End::Done)));
+    assert!(second.assigned.is_empty() && second.progress.is_empty());
+}
+
+/// Guards against keys that move: both versions must find the same rows.
+#[test]
+fn keys_are_production_s() {
+    let id = job("job-000412");
+    assert_eq!(keys::job(&id), "gk/job/job-000412");
+    assert_eq!(keys::fate(&id), "gk/fate/job-000412");
+    assert_eq!(keys::drain("n-000007"), "gk/drain/n-000007");
+    assert_eq!(keys::log(1), "gl/000001");
+    assert_eq!((keys::LEADER, keys::TYPES, keys::OPTIONS), ("gk/leader", "gk/types", "gk/options"));
+    assert_eq!((keys::ALL, keys::LOG, keys::ACCEPTED_AT), ("gk/", "gl/", "accepted_at"));
+}
+
+/// Guards against stored values that are read otherwise than production meant them, and
+/// against rows that are silently passed over.
+#[test]
+fn the_stored_world_is_read() {
+    let mut world = World::default();
+    let (a, b) = (job("job-000412"), job("job-a_b.c-9"));
+    for (version, (key, value)) in (10..).zip(stored()) {
+        let topic = world.apply(&put(&key, value, version), 5.0);
+        let expected = match key.as_str() {
+            "gk/job/job-000412" => Topic::Job(a.clone()),
+            "gk/job/job-a_b.c-9" => Topic::Job(b.clone()),
+            "gk/fate/job-000412" => Topic::Fate(a.clone()),
+            "gk/fate/job-a_b.c-9" => Topic::Fate(b.clone()),
+            "gk/options" => Topic::Options,
+            "gk/drain/n-000007" => Topic::Drain("n-000007".into()),
+            _ => Topic::Other,
+        };
+        assert_eq!(topic, expected, "{key}");
+    }
+
+    let record = LeaderRecord { node: "node-0".into(), run: 559_256_596_868_823_998 };
+    assert_eq!(world.leader, Some((record, 10)));
+    assert_eq!(world.token, 10);
+    let types = vec![MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 2.0,
+        spot_price: Some(0.7),
+        boot_s: 20.0,
+        zones: vec!["a".into(), "b".into()],
+    }];
+    let (read, version) = world.types.clone().expect("types");
+    assert_eq!((&*read, version), (&MachineTypes { types }, 11));
+
+    let spec = JobSpec {
+        id: a.clone(),
+        class: "batch".into(),
+        team: "red".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks: 3,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 4.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: Some(vec!["m32".into()]),
+        zone: Some("a".into()),
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: Some(900.0),
+    };
+    let other = JobSpec {
+        id: b.clone(),
+        tasks: 1,
+        types: None,
+        zone: None,
+        deadline_s: None,
+        ..spec.clone()
+    };
+    assert_eq!(world.jobs.len(), 2);
+    for (spec, version) in [(spec, 12), (other, 13)] {
+        let stored = &world.jobs[&spec.id];
+        assert_eq!(*stored.spec, spec);
+        assert_eq!(stored.version, version);
+        assert_eq!(stored.accepted_at, Some(1_790_000_010.25));
+        // What this version stores of the same job is what production stored.
+        let mut ours = serde_json::to_value(&spec).unwrap();
+        ours[keys::ACCEPTED_AT] = 1_790_000_010.25.into();
+        assert_eq!(ours, value(&keys::job(&spec.id)));
+    }
+
+    assert_eq!(world.fates.len(), 2);
+    assert_eq!(world.fates[&a], JobState::Done);
+    assert_eq!(world.fates[&b], JobState::Cancelled);
+    assert!(world.is_cancelled(&b) && !world.is_cancelled(&a));
+    // The time is this node's own: production stores none.
+    assert_eq!(world.cancelled_after.get(&b), Some(&5.0));
+    assert_eq!(world.cancelled_after.get(&a), None);
+
+    let options = BTreeMap::from(
+        [
+            ("beta", 1.5),
+            ("epsilon", 0.1),
+            ("fleet_fill", 0.55),
+            ("fleet_keep", 0.8),
+            ("fleet_memory_s", 30.0),
+            ("idle_s", 15.0),
+            ("preempt_after_s", 6.0),
+            ("preempt_saving_after_s", 1.0),
+            ("restart_multiple", 3.0),
+            ("round_s", 2.0),
+            ("silent_s", 8.9),
+        ]
+        .map(|(name, value)| (name.to_owned(), value)),
+    );
+    assert_eq!((&world.options, world.options_version), (&options, 16));
+    assert_eq!(world.drains, BTreeMap::from([("n-000007".to_owned(), 17)]));
+    assert!(!world.old_layout, "production keeps no assignments in pages");
+}
+
+/// Guards against options that are dropped whole for one that this version does not
+/// know. The name is put to production's value by hand: production has none such.
+#[test]
+fn an_option_without_a_place_costs_no_other() {
+    let mut stored = value(keys::OPTIONS);
+    stored["of_another_version"] = json!(7.5);
+    let mut world = World::default();
+    assert_eq!(world.apply(&put(keys::OPTIONS, stored, 4), 0.0), Topic::Options);
+    assert_eq!(world.options.len(), 12);
+    assert_eq!(world.options["of_another_version"], 7.5);
+    assert_eq!((world.options["beta"], world.options["round_s"]), (1.5, 2.0));
+}
+
+/// Guards against final states and leader records that production could not read back:
+/// this version writes the same words.
+#[test]
+fn values_are_written_as_production_s() {
+    let written = |state: JobState| serde_json::to_value(state).unwrap();
+    assert_eq!(written(JobState::Done), value("gk/fate/job-000412"));
+    assert_eq!(written(JobState::Cancelled), value("gk/fate/job-a_b.c-9"));
+    let record = LeaderRecord { node: "node-0".into(), run: 559_256_596_868_823_998 };
+    assert_eq!(serde_json::to_value(record).unwrap(), value(keys::LEADER));
+    let types: MachineTypes = serde_json::from_value(value(keys::TYPES)).unwrap();
+    assert_eq!(serde_json::to_value(types).unwrap(), value(keys::TYPES));
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -0,0 +1,216 @@
+//! A node by itself, whose peers are of this version or of the production one: that
+//! tells level 0 in its hellos, and ends a connection over a frame of a kind above 5.
+
+use gladekeel_controller::{
+    cloud::{CloudCall, CloudOutcome},
+    keys,
+    node::{Action, Event, Node},
+};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_testkit::{
+    scenario::{example_job, example_settings, example_type},
+    state::{Limits, State},
+};
+use gladekeel_wire::{
+    JobId,
+    admin::VersionedSettings,
+    cloud::MachineTypes,
+    job::{JobState, JobStatus},
+    mesh::{Header, Kind, LEVEL, read_jobs},
+    state::{Txn, Write},
+};
+use serde_json::json;
+use std::collections::VecDeque;
+
+/// A hello's payload as production lays it out: milliseconds since the last contact to
+/// the state service and the token, little-endian.
+fn hello(contact_ms: u32, leads: u64) -> Vec<u8> {
+    [contact_ms.to_le_bytes().as_slice(), leads.to_le_bytes().as_slice()].concat()
+}
+
+/// A node among `levels.len()` peers, and what it has sent.
+struct Rig {
+    node: Node,
+    state: State,
+    /// What the peers' hellos tell from now on; none for a peer that is silent.
+    levels: Vec<Option<u16>>,
+    step: u32,
+    requests: u64,
+    frames: Vec<(usize, Header, u16, Vec<u8>)>,
+    replies: Vec<(u64, u16, Vec<u8>)>,
+}
+
+impl Rig {
+    fn new(levels: &[Option<u16>]) -> Rig {
+        let limits = Limits { rps: 1000.0, write_rps: 1000.0, txn_ops: 8, value: 4096 };
+        Rig {
+            node: Node::new(example_settings(0, levels.len() + 1), 7, 0.0),
+            state: State::new(limits),
+            levels: levels.to_vec(),
+            step: 0,
+            requests: 0,
+            frames: Vec::new(),
+            replies: Vec::new(),
+        }
+    }
+
+    /// Carries out an event and all that follows from it.
+    fn handle(&mut self, now: f64, event: Event) {
+        let mut actions = VecDeque::from(self.node.handle(now, event));
+        while let Some(action) = actions.pop_front() {
+            let event = match action {
+                Action::State { call, request, .. } => {
+                    Event::State { call, outcome: self.state.call(now, 0, &request) }
+                }
+                Action::Cloud { call, request: CloudCall::Types, .. } => {
+                    let types = vec![example_type(vec!["a".into()])];
+                    Event::Cloud { call, outcome: CloudOutcome::Types(MachineTypes { types }) }
+                }
+                Action::Mesh { peer, frame } => {
+                    let (head, payload) = frame.split_at(Header::SIZE);
+                    let (header, _) = Header::read(head.try_into().unwrap()).expect("a head");
+                    self.frames.push((peer, header, header.kind.get(), payload.to_vec()));
+                    continue;
+                }
+                Action::Reply { id, reply } => {
+                    self.replies.push((id, reply.status, reply.body));
+                    continue;
+                }
+                _ => continue,
+            };
+            actions.extend(self.node.handle(now, event));
+        }
+    }
+
+    /// Lets time pass; the peers say hello once a second.
+    fn run(&mut self, seconds: u32) {
+        for _ in 0..seconds * 20 {
+            let now = f64::from(self.step) * 0.05;
+            for peer in 0..self.levels.len() {
+                if let (Some(level), 0) = (self.levels[peer], self.step % 20) {
+                    let payload = hello(250, 0);
+                    let header = Header::new(Kind::Hello, level, 0, peer as u32 + 1, payload.len());
+                    self.handle(now, Event::Mesh { header, kind: Kind::Hello, payload });
+                }
+            }
+            self.handle(now, Event::Tick);
+            self.step += 1;
+        }
+    }
+
+    /// A request and the status and body of the answer to it.
+    fn request(&mut self, method: &str, path: &str, body: Vec<u8>) -> (u16, Vec<u8>) {
+        self.requests += 1;
+        let id = self.requests;
+        let event = Event::Http { id, method: method.into(), path: path.into(), body };
+        self.handle(f64::from(self.step) * 0.05, event);
+        self.run(2);
+        let (_, status, body) =
+            self.replies.iter().find(|(of, ..)| *of == id).expect("an answer in two seconds");
+        (*status, body.clone())
+    }
+
+    /// A user's request and the answer to it.
+    fn ask(&mut self, path: &str, body: Vec<u8>) -> (u16, JobStatus) {
+        let (status, body) = self.request("POST", path, body);
+        (status, serde_json::from_slice(&body).expect("the state of a job"))
+    }
+
+    /// Submits and cancels a job, and tells who was sent which frames of kinds that
+    /// production does not know.
+    fn cancel(&mut self, name: &str) -> Vec<(usize, u16, Vec<JobId>)> {
+        let spec = serde_json::to_vec(&example_job(name)).unwrap();
+        assert_eq!(self.ask("/api/jobs", spec).0, 201, "{name} is accepted");
+        let before = self.frames.len();
+        let (status, job) = self.ask(&format!("/api/jobs/{name}/cancel"), Vec::new());
+        assert_eq!((status, job.state), (200, JobState::Cancelled), "{name} is committed");
+        let unknown = self.frames[before..].iter().filter(|(_, _, kind, _)| *kind > 5);
+        unknown
+            .map(|(peer, _, kind, payload)| (*peer, *kind, read_jobs(payload).expect("ids")))
+            .collect()
+    }
+}
+
+fn told(peer: usize, name: &str) -> (usize, u16, Vec<JobId>) {
+    (peer, 6, vec![name.parse().unwrap()])
+}
+
+/// Guards against a frame of kind 6 for a production node: it ends the connection, and
+/// the leader behind it would be cut off from relayed reports with each cancellation.
+#[test]
+fn cancellations_go_only_to_peers_that_understand_them() {
+    let mut old = Rig::new(&[Some(0), Some(0)]);
+    old.run(5);
+    assert_eq!(old.cancel("job-1"), []);
+
+    let mut new = Rig::new(&[Some(1), Some(1)]);
+    new.run(5);
+    assert_eq!(new.cancel("job-1"), [told(0, "job-1"), told(1, "job-1")]);
+
+    let mut mixed = Rig::new(&[Some(0), Some(1)]);
+    mixed.run(5);
+    assert_eq!(mixed.cancel("job-1"), [told(1, "job-1")]);
+
+    // A level above this version's understands what this version sends.
+    let mut later = Rig::new(&[Some(2), None]);
+    later.run(5);
+    assert_eq!(later.cancel("job-1"), [told(0, "job-1")], "a silent peer counts as old");
+}
+
+/// Guards against a level that sticks: a peer that is updated, or taken back to
+/// production, counts as what its last hello told.
+#[test]
+fn levels_follow_the_last_hello() {
+    let mut rig = Rig::new(&[Some(0), Some(1)]);
+    rig.run(5);
+    assert_eq!(rig.cancel("job-1"), [told(1, "job-1")]);
+    rig.levels = vec![Some(1), Some(0)];
+    rig.run(2);
+    assert_eq!(rig.cancel("job-2"), [told(0, "job-2")]);
+}
+
+/// Guards against other new things in what a production node gets: every frame besides
+/// is of a kind that it knows, and hellos have its layout, with the level as status.
+#[test]
+fn production_peers_get_production_s_frames() {
+    let mut rig = Rig::new(&[Some(0), Some(0)]);
+    rig.run(5);
+    rig.cancel("job-1");
+    let (mut hellos, mut led) = (0, false);
+    for (_, header, kind, payload) in &rig.frames {
+        assert!((1..=5).contains(kind), "kind {kind}");
+        assert_eq!(header.len.get() as usize, payload.len());
+        if *kind == 4 {
+            hellos += 1;
+            assert_eq!((header.status.get(), payload.len()), (LEVEL, 12));
+            assert_eq!((header.call.get(), header.from.get()), (0, 0));
+            let token = rig.node.leader().expect("it leads").token;
+            let leads = u64::from_le_bytes(payload[4..].try_into().unwrap());
+            assert!(leads == 0 || leads == token, "{leads} is no token");
+            led |= leads == token;
+        } else {
+            assert_eq!(header.status.get(), 0, "kind {kind}");
+        }
+    }
+    assert!(hellos >= 10, "{hellos} hellos to two peers in nine seconds");
+    assert!(led, "no hello tells the token");
+}
+
+/// Guards against settings that fall back to the usual ones because another version
+/// stored one that this version does not know: the others stay in force.
+#[test]
+fn a_setting_of_another_version_costs_no_other() {
+    let mut rig = Rig::new(&[Some(0), Some(0)]);
+    let value = json!({"beta": 1.5, "round_s": 2.0, "of_another_version": 7.5});
+    let put = Write::Put { key: keys::OPTIONS.into(), value, lease: None };
+    let stored =
+        rig.state.call(0.0, 1, &Call::Commit(Txn { guards: Vec::new(), writes: vec![put] }));
+    let Outcome::Committed(version) = stored else { panic!("not stored: {stored:?}") };
+    rig.run(5);
+    let (status, body) = rig.request("GET", "/admin/settings", Vec::new());
+    assert_eq!(status, 200);
+    let read: VersionedSettings = serde_json::from_slice(&body).unwrap();
+    assert_eq!(read.version, version);
+    assert_eq!((read.settings["beta"], read.settings["round_s"]), (1.5, 2.0));
+    assert!(!read.settings.contains_key("of_another_version"));
+}
--- /dev/null
+++ b/crates/gladekeel-wire/tests/production_frames.rs
@@ -0,0 +1,157 @@
+//! Frames as the production version sends them, read by this one.
+//!
+//! `fixtures/production_frames.txt` holds what two nodes of commit
+//! 37c5e95213a12123977e782109b725d8fe96dbed sent each other: a name and the frame in
+//! hex on each line. While a deployment is updated both versions run side by side, so
+//! these bytes never change with the code.
+
+use gladekeel_wire::{
+    JobId,
+    mesh::{Header, Hello, Kind, LEVEL, MAX_PAYLOAD, read_counts, write_counts},
+    worker::{Command, Report, ReportAnswer, TaskState},
+};
+use zerocopy::{FromBytes, IntoBytes};
+
+/// The bytes of the frame with this name.
+fn frame(name: &str) -> Vec<u8> {
+    let text = include_str!("fixtures/production_frames.txt");
+    let mut frames = text.lines().filter_map(|line| line.split_once(' '));
+    let (_, hex) = frames.find(|(n, _)| *n == name).expect("the fixture has this frame");
+    hex.as_bytes()
+        .chunks(2)
+        .map(|two| u8::from_str_radix(std::str::from_utf8(two).unwrap(), 16).unwrap())
+        .collect()
+}
+
+/// The head and payload of a frame, which is exactly as long as its head tells.
+fn open(frame: &[u8]) -> (Header, Kind, &[u8]) {
+    let (head, payload) = frame.split_at(Header::SIZE);
+    let (header, kind) = Header::read(head.try_into().unwrap()).expect("production's head");
+    assert_eq!(header.len.get() as usize, payload.len());
+    (header, kind, payload)
+}
+
+fn job(id: &str) -> JobId {
+    id.parse().unwrap()
+}
+
+/// The kind, the numbers of the head and the payload as this version writes them.
+fn write(kind: Kind, status: u16, call: u64, from: u32, payload: &[u8]) -> Vec<u8> {
+    let mut frame = Header::new(kind, status, call, from, payload.len()).as_bytes().to_vec();
+    frame.extend_from_slice(payload);
+    frame
+}
+
+/// Guards against a head whose fields move, widen or change their meaning: each frame
+/// of production is read to the values that it was sent with, and this version makes
+/// the same bytes of them.
+#[test]
+fn heads_are_production_s() {
+    for (name, kind, status, call, from) in [
+        ("nudge", Kind::Nudge, 0, 0, 1),
+        ("relay", Kind::Relay, 0, 45, 1),
+        ("relayed", Kind::Relayed, 200, 42, 0),
+        ("hello", Kind::Hello, 0, 0, 0),
+        ("hello-follower", Kind::Hello, 0, 0, 1),
+        ("counts", Kind::Counts, 0, 0, 0),
+    ] {
+        let bytes = frame(name);
+        let (header, read, payload) = open(&bytes);
+        assert_eq!(read, kind, "{name}");
+        let numbers = (header.status.get(), header.call.get(), header.from.get());
+        assert_eq!(numbers, (status, call, from), "{name}");
+        assert_eq!(write(kind, status, call, from, payload), bytes, "{name}");
+    }
+}
+
+/// Guards against kinds that are numbered anew, and limits that a production node's
+/// frame would break.
+#[test]
+fn kinds_and_limits_of_production_stay() {
+    for (number, kind) in [
+        (1, Kind::Nudge),
+        (2, Kind::Relay),
+        (3, Kind::Relayed),
+        (4, Kind::Hello),
+        (5, Kind::Counts),
+    ] {
+        assert_eq!(Kind::from_number(number), Some(kind));
+        assert_eq!(kind as u16, number);
+    }
+    // Production refuses every other number, so what is new has to be above.
+    assert_eq!(Kind::Cancelled as u16, 6);
+    assert_eq!(Kind::from_number(0), None);
+    assert_eq!(Kind::from_number(7), None);
+    assert_eq!(MAX_PAYLOAD, 262_144);
+    assert_eq!((Header::SIZE, size_of::<Hello>()), (24, 12));
+}
+
+/// Guards against hellos that one of the versions misreads: a leader that is not heard
+/// costs a takeover.
+#[test]
+fn hellos_are_read_and_written_as_production_s() {
+    for (name, from, contact_ms, leads) in [("hello", 0, 250, 2), ("hello-follower", 1, 299, 0)] {
+        let bytes = frame(name);
+        let (header, _, payload) = open(&bytes);
+        // No level is told: nothing that production cannot read may be sent to it.
+        assert!(header.status.get() < 1, "{name}");
+        let hello = Hello::read_from_bytes(payload).expect("production's hello");
+        assert_eq!((hello.contact_ms.get(), hello.leads.get()), (contact_ms, leads), "{name}");
+
+        let hello = Hello { contact_ms: contact_ms.into(), leads: leads.into() };
+        let ours = write(Kind::Hello, LEVEL, 0, from, hello.as_bytes());
+        assert_eq!(ours.len(), bytes.len(), "{name}");
+        let differ: Vec<usize> = (0..ours.len()).filter(|at| ours[*at] != bytes[*at]).collect();
+        assert_eq!(differ, [6], "only the status, which production passes over");
+        assert_eq!(ours[6..8], [1, 0]);
+    }
+}
+
+/// Guards against rows of counts that shift: the ids follow rows of a fixed size.
+#[test]
+fn counts_are_read_and_written_as_production_s() {
+    let bytes = frame("counts");
+    let (_, _, payload) = open(&bytes);
+    let rows = read_counts(payload).expect("production's counts");
+    assert_eq!(rows, [(job("job-000412"), 0, 3), (job("job-a_b.c-9"), 0, 1)]);
+    let ours = write_counts(rows.iter().map(|(id, done, running)| (id, *done, *running)));
+    assert_eq!(ours, [payload.to_vec()]);
+}
+
+/// Guards against reports and answers that one of the versions cannot pass on: a worker
+/// may report to a node of either, and be led by the other.
+#[test]
+fn relayed_reports_and_answers_are_read() {
+    let bytes = frame("relay");
+    let report: Report = serde_json::from_slice(open(&bytes).2).expect("production's report");
+    assert_eq!((report.machine.as_str(), report.addr.as_str()), ("n-000001", "10.1.0.2:9000"));
+    assert_eq!((report.machine_type.as_str(), report.zone.as_str()), ("m32", "a"));
+    assert_eq!((report.spot, report.session, report.seq, report.token), (true, 1, 12, 2));
+    let tasks: Vec<(String, u64)> =
+        report.tasks.iter().map(|task| (task.task.to_string(), task.attempt)).collect();
+    let expected = [
+        ("job-000412/0".to_owned(), 33_554_433),
+        ("job-000412/1".to_owned(), 33_554_434),
+        ("job-000412/2".to_owned(), 33_554_435),
+        ("job-a_b.c-9/0".to_owned(), 33_554_432),
+    ];
+    assert_eq!(tasks, expected);
+    assert!(report.tasks.iter().all(|task| task.state == TaskState::Running));
+    assert_eq!(serde_json::to_vec(&report).unwrap(), open(&bytes).2);
+
+    let bytes = frame("relayed");
+    let answer: ReportAnswer = serde_json::from_slice(open(&bytes).2).expect("an answer");
+    assert_eq!(answer.token, 2);
+    let starts: Vec<(String, u64)> = answer
+        .commands
+        .iter()
+        .map(|command| match command {
+            Command::Start { task, attempt } => (task.to_string(), *attempt),
+            other => panic!("not a start: {other:?}"),
+        })
+        .collect();
+    let [.., last] = &expected;
+    let (first, rest) = starts.split_first().expect("four starts");
+    assert_eq!((first, rest), (last, &expected[..3]));
+    assert_eq!(serde_json::to_vec(&answer).unwrap(), open(&bytes).2);
+}
