Three quarters of the state service's writes for the leader; standby keeps its machines

Cause: pecos next with lowered limits starts and ends some 170 tasks a second; that is nine segments of 1.5 KB a second, and the leader had nine writes a second. And the machines kept for gangs changed with every arrival, the busiest being dropped first, so that images were fetched again.

Ruled out: placing (gangs are placed within 0.3 s).

--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -89,14 +89,29 @@
     work: f64,
     /// The largest.
     largest: f64,
-    /// When the last one came.
+    /// When the first and the last one came.
+    since: f64,
     at: f64,
+    /// Their images.
+    images: BTreeSet<u32>,
+}
+
+impl Gangs {
+    /// Machines that they keep busy on average.
+    fn busy(&self, now: f64) -> f64 {
+        let faded = |seconds: f64| (-seconds.max(0.0) / GANGS_S).exp();
+        // What has come for a short while tells of as short a while.
+        let told_s = GANGS_S * (1.0 - faded((now - self.since).max(GANGS_S / 6.0)));
+        self.work * faded(now - self.at) / told_s
+    }
 }
 
 /// Gangs that came within this time tell of what will come.
 const GANGS_S: f64 = 180.0;
 /// Standby for gangs, over what they keep busy on average: they come in clusters.
 const STANDBY: f64 = 1.5;
+/// So many more than that stay once they are kept.
+const STANDBY_SPARE: usize = 2;
 /// At most one in so many ordinary machines of a zone is kept for gangs.
 const STANDBY_PART: usize = 3;
 
@@ -618,7 +633,10 @@
         let Some(job) = self.jobs.get(&ix).filter(|job| job.is_gang()) else { return };
         if job.awaited(&self.params) {
             let (at, class) = (job.known_at, job.spec.class.clone());
-            let gangs = self.know.fleet.gangs.entry((kind, class)).or_default();
+            let image = job.image;
+            let new = || Gangs { since: at, ..Gangs::default() };
+            let gangs = self.know.fleet.gangs.entry((kind, class)).or_insert_with(new);
+            gangs.images.insert(image);
             gangs.work = gangs.work * (-(at - gangs.at).max(0.0) / GANGS_S).exp() + work;
             gangs.largest = gangs.largest.max(f64::from(job.spec.tasks) / f64::from(fits));
             gangs.at = gangs.at.max(at);
@@ -631,10 +649,12 @@
         let fleet = &mut self.know.fleet;
         fleet.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
         let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
+        let mut images: BTreeSet<u32> = BTreeSet::new();
         for ((kind, _), gangs) in &fleet.gangs {
             let (busy, largest) = wanted.entry(*kind).or_default();
-            *busy += gangs.work * (-(now - gangs.at).max(0.0) / GANGS_S).exp() / GANGS_S;
+            *busy += gangs.busy(now);
             *largest = largest.max(gangs.largest);
+            images.extend(&gangs.images);
         }
         fleet.standby.clear();
         let mut shelves: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
@@ -651,8 +671,15 @@
             let (busy, largest) = wanted[&kind];
             let count = (STANDBY * busy + largest).ceil() as usize + 1;
             let count = count.min(shelf.len() / STANDBY_PART);
-            // Those that were kept so far, which have the images, then the emptiest.
-            shelf.sort_by_key(|ix| (!machines[ix].standby, machines[ix].used.cpus));
+            // Those that were kept so far, then those that have the images, then the
+            // emptiest. A few more than are needed stay: need goes up and down.
+            let had = shelf.iter().filter(|ix| machines[*ix].standby).count();
+            shelf.sort_by_key(|ix| {
+                let machine = &machines[ix];
+                let ready = machine.ready.intersection(&images).count();
+                (!machine.standby, std::cmp::Reverse(ready), machine.used.cpus)
+            });
+            let count = count.max(had.min(count + STANDBY_SPARE));
             kept.extend(shelf.into_iter().take(count));
             *self.know.fleet.standby.entry(kind).or_default() += count as u32;
         }
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -378,7 +378,7 @@
                 (params.state.write_rps * 0.3).max(0.5),
                 (params.state.write_rps * 0.3).max(1.0),
             ),
-            leader_writes: Bucket::new(params.state.write_rps * 0.5, params.state.write_rps * 0.5),
+            leader_writes: Bucket::new(params.state.write_rps * 0.75, params.state.write_rps * 0.5),
             cloud: Bucket::new(params.cloud.rps * 0.8, (params.cloud.rps * 0.8).max(1.0)),
             resigned: 0,
             hello_at: 0.0,
