--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -125,13 +125,15 @@
     /// Tells the other controllers of cancellations that were committed here. A leader
     /// that the state service refuses stops the jobs' tasks at once instead of letting
     /// them run out with their leases; no bound depends on that it hears.
-    pub(super) fn tell_cancelled(&mut self, ids: &[JobId]) {
+    pub(super) fn tell_cancelled(&mut self, now: f64, ids: &[JobId]) {
         if ids.is_empty() {
             return;
         }
         let payload = mesh::write_jobs(ids.iter());
         for peer in 0..self.peers.len() {
-            if self.peers[peer].level >= 1 {
+            // One that has not been heard of late may come back as the version before.
+            let heard = self.peers[peer].heard_at.is_some_and(|at| now - at < HELLO_S);
+            if heard && self.peers[peer].level >= 1 {
                 self.send(peer, Kind::Cancelled, 0, 0, &payload);
             }
         }
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -166,7 +166,7 @@
             Outcome::Committed(_) => {
                 let cancelled = writes.iter().filter(|write| write.spec.is_none());
                 let cancelled: Vec<JobId> = cancelled.map(|write| write.id.clone()).collect();
-                self.tell_cancelled(&cancelled);
+                self.tell_cancelled(now, &cancelled);
                 for id in cancelled {
                     // A leader's own reading may not come for long either.
                     self.call_off(&id, now);
