--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod model;
 mod report;
 mod rounds;
+mod standby;
 
 pub use direct::{DirectCall, DirectOutcome};
 pub use model::{Attempt, Job, Machine, Phase, StopWhy};
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/standby.rs
@@ -0,0 +1,102 @@
+//! Machines that are kept for gangs.
+
+use super::Leader;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+/// Gangs of a class as they came in the last minutes, in machines.
+#[derive(Debug, Default)]
+pub(super) struct Gangs {
+    /// Machine-seconds, old ones counting less and less.
+    work: f64,
+    /// The largest.
+    largest: f64,
+    /// When the first and the last one came.
+    since: f64,
+    at: f64,
+    /// Their images.
+    images: BTreeSet<u32>,
+}
+
+impl Gangs {
+    /// Machines that they keep busy on average.
+    fn busy(&self, now: f64) -> f64 {
+        let faded = |seconds: f64| (-seconds.max(0.0) / GANGS_S).exp();
+        // What has come for a short while tells of as short a while.
+        let told_s = GANGS_S * (1.0 - faded((now - self.since).max(GANGS_S / 6.0)));
+        self.work * faded(now - self.at) / told_s
+    }
+}
+
+/// Gangs that came within this time tell of what will come.
+const GANGS_S: f64 = 180.0;
+/// Standby for gangs, over what they keep busy on average: they come in clusters.
+const STANDBY: f64 = 1.5;
+/// So many more than that stay once they are kept.
+const STANDBY_SPARE: usize = 2;
+/// At most one in so many ordinary machines of a zone is kept for gangs.
+const STANDBY_PART: usize = 3;
+
+impl Leader {
+    /// A gang has come: so much work, so many of whose tasks fit on a machine.
+    pub(super) fn count_gang(&mut self, ix: u32, kind: u32, work: f64, fits: u32) {
+        let Some(job) = self.jobs.get(&ix).filter(|job| job.is_gang()) else { return };
+        if job.awaited(&self.params) {
+            let (at, class) = (job.known_at, job.spec.class.clone());
+            let image = job.image;
+            let new = || Gangs { since: at, ..Gangs::default() };
+            let gangs = self.know.fleet.gangs.entry((kind, class)).or_insert_with(new);
+            gangs.images.insert(image);
+            gangs.work = gangs.work * (-(at - gangs.at).max(0.0) / GANGS_S).exp() + work;
+            gangs.largest = gangs.largest.max(f64::from(job.spec.tasks) / f64::from(fits));
+            gangs.at = gangs.at.max(at);
+        }
+    }
+
+    /// Keeps ordinary machines in each zone for gangs that should start at once: room for
+    /// a whole gang would be late if it had to be gathered, and so would the image.
+    pub(super) fn keep_standby(&mut self, now: f64) {
+        let fleet = &mut self.know.fleet;
+        fleet.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
+        let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
+        let mut images: BTreeSet<u32> = BTreeSet::new();
+        for ((kind, _), gangs) in &fleet.gangs {
+            let (busy, largest) = wanted.entry(*kind).or_default();
+            *busy += gangs.busy(now);
+            *largest = largest.max(gangs.largest);
+            images.extend(&gangs.images);
+        }
+        fleet.standby.clear();
+        let mut shelves: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
+        let machines = &mut self.know.machines;
+        for (ix, machine) in &*machines {
+            let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
+            let usable = !machine.spot && !machine.leaving() && machine.heard_at.is_some();
+            if usable && wanted.contains_key(&kind) {
+                shelves.entry((kind, zone)).or_default().push(*ix);
+            }
+        }
+        let mut kept = BTreeSet::new();
+        for ((kind, _), mut shelf) in shelves {
+            let (busy, largest) = wanted[&kind];
+            let count = (STANDBY * busy + largest).ceil() as usize + 1;
+            let count = count.min(shelf.len() / STANDBY_PART);
+            // Those that were kept so far, then those that have the images, then the
+            // emptiest. A few more than are needed stay: need goes up and down.
+            let had = shelf.iter().filter(|ix| machines[*ix].standby).count();
+            shelf.sort_by_key(|ix| {
+                let machine = &machines[ix];
+                let ready = machine.ready.intersection(&images).count();
+                (!machine.standby, Reverse(ready), machine.used.cpus)
+            });
+            let count = count.max(had.min(count + STANDBY_SPARE));
+            kept.extend(shelf.into_iter().take(count));
+            *self.know.fleet.standby.entry(kind).or_default() += count as u32;
+        }
+        for (ix, machine) in machines {
+            machine.standby = kept.contains(ix);
+        }
+    }
+}
--- a/crates/gladekeel-sched/src/fleet.rs
+++ b/crates/gladekeel-sched/src/fleet.rs
@@ -170,15 +170,6 @@
         assert_eq!(plan(&[Need { running: 4.0, ..need(900.0) }], 4.0, &[]).need, 4.0);
     }
 
-    #[test]
-    fn a_gang_needs_its_machines_at_once() {
-        let need = |together| Need { pending: 6.2, run_s: 15.0, together, ..Need::default() };
-        let others = Need { running: 2.0, run_s: 15.0, left_s: 900.0, ..Need::default() };
-        let late = |together| plan(&[Need { left_s: 900.0, ..need(together) }, others], 5.0, &[]);
-        assert_eq!(late(false).rent, 0.0, "its tasks can run one after the other");
-        assert_eq!((late(true).rent, late(true).need), (4.0, 8.2));
-    }
-
     #[test]
     fn what_will_come_and_be_due_sooner_counts() {
         let need = [Need { pending: 10.0, run_s: 30.0, left_s: 150.0, ..Need::default() }];
--- a/crates/gladekeel-sched/src/place.rs
+++ b/crates/gladekeel-sched/src/place.rs
@@ -639,67 +639,6 @@
         assert_eq!(place(1, &gang), [0, 2], "what can never hold it need not be kept for it");
     }
 
-    #[test]
-    fn gangs_of_one_zone_take_the_zone_that_holds_them_whole() {
-        let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
-        machines[0].ready = vec![0];
-        let mut gang = job(0, 16.0, 4);
-        (gang.gang, gang.one_zone) = (true, true);
-        let place = |gang: &Job| {
-            let teams = vec![team(0.0, 1000.0)];
-            let mut round = round(machines.clone(), teams, vec![gang.clone()]);
-            let placed = round.place(&Hopper::default());
-            [0, 1, 2].map(|m| placed.iter().filter(|p| p.machine == m).count())
-        };
-        assert_eq!(place(&gang), [0, 2, 2], "the machine with the image holds half of it");
-        (gang.remaining, gang.pending) = (2, 2);
-        assert_eq!(place(&gang), [2, 0, 0]);
-        (gang.one_zone, gang.zone_cap) = (false, 1);
-        assert_eq!(place(&gang), [1, 1, 0], "scattered");
-    }
-
-    #[test]
-    fn what_a_waiting_gang_lacks_is_placed_beside_the_rest() {
-        let mut gang = job(0, 16.0, 3);
-        (gang.gang, gang.one_zone, gang.pending, gang.by_zone) = (true, true, 1, vec![0, 2]);
-        let place = |gang: &Job| {
-            let machines = vec![machine(0, false), machine(1, false)];
-            let mut round = round(machines, vec![team(0.0, 1000.0)], vec![gang.clone()]);
-            round.place(&Hopper::default())
-        };
-        assert!(place(&gang).is_empty(), "the old attempt is not gone yet");
-        gang.completes = true;
-        assert_eq!(place(&gang), [Placement { job: 0, machine: 1 }]);
-    }
-
-    #[test]
-    fn a_gang_larger_than_a_round_still_starts_whole() {
-        let mut gang = job(0, 4.0, 9);
-        gang.gang = true;
-        let place = |jobs: Vec<Job>| {
-            let mut round = round(vec![machine(0, false); 2], vec![team(0.0, 1000.0)], jobs);
-            round.most = 4;
-            let placed = round.place(&Hopper::default());
-            [0, 1].map(|at| count(&placed, at))
-        };
-        assert_eq!(place(vec![gang.clone()]), [9, 0]);
-        assert_eq!(place(vec![gang, job(0, 4.0, 3)]), [0, 3], "when it is its turn");
-    }
-
-    #[test]
-    fn what_is_kept_for_gangs_is_left_to_them() {
-        let mut machines = vec![machine(0, false); 2];
-        machines[1].standby = true;
-        let mut gang = job(0, 8.0, 2);
-        gang.gang = true;
-        let teams = vec![team(0.0, 1000.0)];
-        let mut round = round(machines, teams, vec![gang, job(0, 8.0, 9)]);
-        let placed = round.place(&Hopper::default());
-        let on =
-            |job: usize, m: usize| placed.iter().filter(|p| p.job == job && p.machine == m).count();
-        assert_eq!([on(0, 0), on(0, 1), on(1, 0), on(1, 1)], [0, 2, 4, 0]);
-    }
-
     #[test]
     fn room_gathers_for_what_has_waited_long() {
         let mut machines = vec![machine(0, false); 2];
--- a/crates/gladekeel-sched/src/preempt.rs
+++ b/crates/gladekeel-sched/src/preempt.rs
@@ -173,33 +173,6 @@
     use super::*;
     use crate::place::tests::{job, machine, room, round, team};
 
-    #[test]
-    fn room_is_made_for_a_whole_gang_or_not_at_all() {
-        let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
-        machines.iter_mut().for_each(|m| m.free = room(16.0));
-        machines[0].ready = vec![0];
-        let victim = |id, machine, loss| Victim {
-            id,
-            machine,
-            team: 0,
-            priority: 1,
-            task: room(16.0),
-            loss,
-            saves: true,
-        };
-        let stop = |tasks: u32| {
-            let mut gang = Job { priority: 2, ..job(0, 16.0, tasks) };
-            (gang.gang, gang.one_zone) = (true, true);
-            let mut round = round(machines.clone(), vec![team(0.0, 1000.0)], vec![gang]);
-            let mut victims =
-                Victims::new(3, [victim(1, 0, 9.0), victim(2, 1, 1.0), victim(3, 2, 2.0)]);
-            victims.stop_for_gang(&mut round, 0, 8, true)
-        };
-        assert_eq!(stop(2), [1], "where the image is, and beside what is free");
-        assert_eq!(stop(3), [2], "the other zone holds it, and little is lost there");
-        assert!(stop(5).is_empty(), "no zone holds it: nothing is stopped in vain");
-    }
-
     #[test]
     fn preemption_takes_lower_priority_or_what_is_borrowed() {
         let mut machines = vec![machine(0, false); 2];
--- /dev/null
+++ b/crates/gladekeel-sched/tests/gangs.rs
@@ -0,0 +1,166 @@
+//! Gangs: placed whole or not at all, and what is made room and kept for them.
+
+use gladekeel_sched::{
+    Room,
+    fleet::{Need, Plan, Sizer, Sizing, Supply},
+    place::{Job, Machine, Placement, Round, Team},
+    preempt::{Victim, Victims},
+    share::Hopper,
+};
+
+fn room(cpus: f64) -> Room {
+    Room::taken(cpus, 0.0, cpus)
+}
+
+fn machine(zone: u32, spot: bool) -> Machine {
+    Machine {
+        whole: room(32.0),
+        free: room(32.0),
+        kind: 0,
+        zone,
+        spot,
+        images: Vec::new(),
+        ready: Vec::new(),
+        fetching: false,
+        open: true,
+        standby: false,
+    }
+}
+
+fn job(team: u32, cpus: f64, tasks: u32) -> Job {
+    Job {
+        team,
+        priority: 1,
+        task: room(cpus),
+        remaining: tasks,
+        pending: tasks,
+        restarts: 0,
+        image: 0,
+        kinds: None,
+        zone: None,
+        one_zone: false,
+        zone_cap: u32::MAX,
+        spot: true,
+        by_zone: Vec::new(),
+        gang: false,
+        completes: false,
+        overdue: 0,
+        hurried: false,
+    }
+}
+
+fn team(guarantee: f64, limit: f64) -> Team {
+    Team { guarantee: room(guarantee), limit: room(limit), used: Room::default() }
+}
+
+fn round(machines: Vec<Machine>, teams: Vec<Team>, jobs: Vec<Job>) -> Round {
+    let whole = machines.iter().fold(Room::default(), |sum, m| sum + m.whole);
+    Round { machines, whole, teams, jobs, most: 1000, looked: 0 }
+}
+
+fn count(placed: &[Placement], job: usize) -> usize {
+    placed.iter().filter(|p| p.job == job).count()
+}
+
+fn plan(needs: &[Need], up: f64, booting: &[f64]) -> Plan {
+    let supply = Supply { up, booting: booting.to_vec() };
+    let sizing = Sizing { memory_s: 60.0, keep: 1.0, fill: 1.0 };
+    Sizer::default().plan(0.0, needs, &supply, &[], 50.0, &sizing)
+}
+
+#[test]
+fn gangs_of_one_zone_take_the_zone_that_holds_them_whole() {
+    let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
+    machines[0].ready = vec![0];
+    let mut gang = job(0, 16.0, 4);
+    (gang.gang, gang.one_zone) = (true, true);
+    let place = |gang: &Job| {
+        let teams = vec![team(0.0, 1000.0)];
+        let mut round = round(machines.clone(), teams, vec![gang.clone()]);
+        let placed = round.place(&Hopper::default());
+        [0, 1, 2].map(|m| placed.iter().filter(|p| p.machine == m).count())
+    };
+    assert_eq!(place(&gang), [0, 2, 2], "the machine with the image holds half of it");
+    (gang.remaining, gang.pending) = (2, 2);
+    assert_eq!(place(&gang), [2, 0, 0]);
+    (gang.one_zone, gang.zone_cap) = (false, 1);
+    assert_eq!(place(&gang), [1, 1, 0], "scattered");
+}
+
+#[test]
+fn what_a_waiting_gang_lacks_is_placed_beside_the_rest() {
+    let mut gang = job(0, 16.0, 3);
+    (gang.gang, gang.one_zone, gang.pending, gang.by_zone) = (true, true, 1, vec![0, 2]);
+    let place = |gang: &Job| {
+        let machines = vec![machine(0, false), machine(1, false)];
+        let mut round = round(machines, vec![team(0.0, 1000.0)], vec![gang.clone()]);
+        round.place(&Hopper::default())
+    };
+    assert!(place(&gang).is_empty(), "the old attempt is not gone yet");
+    gang.completes = true;
+    assert_eq!(place(&gang), [Placement { job: 0, machine: 1 }]);
+}
+
+#[test]
+fn a_gang_larger_than_a_round_still_starts_whole() {
+    let mut gang = job(0, 4.0, 9);
+    gang.gang = true;
+    let place = |jobs: Vec<Job>| {
+        let mut round = round(vec![machine(0, false); 2], vec![team(0.0, 1000.0)], jobs);
+        round.most = 4;
+        let placed = round.place(&Hopper::default());
+        [0, 1].map(|at| count(&placed, at))
+    };
+    assert_eq!(place(vec![gang.clone()]), [9, 0]);
+    assert_eq!(place(vec![gang, job(0, 4.0, 3)]), [0, 3], "when it is its turn");
+}
+
+#[test]
+fn what_is_kept_for_gangs_is_left_to_them() {
+    let mut machines = vec![machine(0, false); 2];
+    machines[1].standby = true;
+    let mut gang = job(0, 8.0, 2);
+    gang.gang = true;
+    let teams = vec![team(0.0, 1000.0)];
+    let mut round = round(machines, teams, vec![gang, job(0, 8.0, 9)]);
+    let placed = round.place(&Hopper::default());
+    let on =
+        |job: usize, m: usize| placed.iter().filter(|p| p.job == job && p.machine == m).count();
+    assert_eq!([on(0, 0), on(0, 1), on(1, 0), on(1, 1)], [0, 2, 4, 0]);
+}
+
+#[test]
+fn room_is_made_for_a_whole_gang_or_not_at_all() {
+    let mut machines = vec![machine(0, false), machine(1, false), machine(1, false)];
+    machines.iter_mut().for_each(|m| m.free = room(16.0));
+    machines[0].ready = vec![0];
+    let victim = |id, machine, loss| Victim {
+        id,
+        machine,
+        team: 0,
+        priority: 1,
+        task: room(16.0),
+        loss,
+        saves: true,
+    };
+    let stop = |tasks: u32| {
+        let mut gang = Job { priority: 2, ..job(0, 16.0, tasks) };
+        (gang.gang, gang.one_zone) = (true, true);
+        let mut round = round(machines.clone(), vec![team(0.0, 1000.0)], vec![gang]);
+        let mut victims =
+            Victims::new(3, [victim(1, 0, 9.0), victim(2, 1, 1.0), victim(3, 2, 2.0)]);
+        victims.stop_for_gang(&mut round, 0, 8, true)
+    };
+    assert_eq!(stop(2), [1], "where the image is, and beside what is free");
+    assert_eq!(stop(3), [2], "the other zone holds it, and little is lost there");
+    assert!(stop(5).is_empty(), "no zone holds it: nothing is stopped in vain");
+}
+
+#[test]
+fn a_gang_needs_its_machines_at_once() {
+    let need = |together| Need { pending: 6.2, run_s: 15.0, together, ..Need::default() };
+    let others = Need { running: 2.0, run_s: 15.0, left_s: 900.0, ..Need::default() };
+    let late = |together| plan(&[Need { left_s: 900.0, ..need(together) }, others], 5.0, &[]);
+    assert_eq!(late(false).rent, 0.0, "its tasks can run one after the other");
+    assert_eq!((late(true).rent, late(true).need), (4.0, 8.2));
+}
