--- a/test.sh
+++ b/test.sh
@@ -6,4 +6,4 @@
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --quiet -- -D warnings
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --quiet
-cargo test --workspace --quiet
+.ci/cargo-test
