--- a/crates/gladekeel-sched/src/intern.rs
+++ b/crates/gladekeel-sched/src/intern.rs
@@ -1,3 +1,5 @@
+//! Names as dense indices.
+
 use std::{collections::HashMap, hash::Hash};
 
 /// Maps names to dense indices, so that the rest of the code compares and
--- a/crates/gladekeel-sched/src/room.rs
+++ b/crates/gladekeel-sched/src/room.rs
@@ -1,3 +1,5 @@
+//! Amounts of CPU, GPU and memory.
+
 use std::ops::{Add, AddAssign, Mul, Sub, SubAssign};
 
 /// An amount of CPU, GPU and memory, in thousandths, so that sums are exact.
