Playground: gangs run; a gang's description is written beside the job's

Tried as a new user would: a submitted gang was placed whole and never ran, since nothing let the tasks of a gang meet on the playground's workers; after 30 s each exited alone and the gang began anew. The testkit's Gangs now step with the workers. Named constants in place of repeated figures.

--- a/crates/gladekeel-testkit/examples/playground.rs
+++ b/crates/gladekeel-testkit/examples/playground.rs
@@ -1,13 +1,14 @@
 //! The stand-ins on loopback: a state service, a cloud and its workers, and settings
 //! files for three controller nodes, to try gladekeel without anything else.
 //!
-//! Machines boot in five seconds and images take no time. Nothing is kept.
+//! Machines boot in five seconds, an image takes a second for each GB. Nothing is kept.
 
 use gladekeel_controller::cloud::{CloudCall, CloudOutcome};
 use gladekeel_http::{Client, Limits, Request, Response, Server};
 use gladekeel_store::{Call, Outcome};
 use gladekeel_testkit::{
     cloud::Cloud,
+    gang::Gangs,
     scenario::example_settings,
     state::{self, State},
     worker::Worker,
@@ -17,7 +18,7 @@
     cloud::{MachineNames, MachineType, MachineTypes},
     job::JobSpec,
     state::{Lease, NewLease, TxnAnswer},
-    worker::{Direct, Redirect, ReportAnswer},
+    worker::{Direct, Redirect, Report, ReportAnswer},
 };
 use serde::Serialize;
 use std::{
@@ -36,12 +37,25 @@
 const CLOUD: u16 = 18443;
 const NODES: [u16; 3] = [18080, 18081, 18082];
 const MESH: [u16; 3] = [18090, 18091, 18092];
+/// Time that a machine takes to boot.
+const BOOT: Duration = Duration::from_secs(5);
+/// Time between two steps of the workers.
+const STEP: Duration = Duration::from_millis(100);
+/// Time between two reports of a worker.
+const REPORT_S: f64 = 3.0;
+/// Least time between two reports of a worker.
+const CHANGE_REPORT_S: f64 = 0.5;
+/// Length of a worker's lease.
+const LEASE_S: f64 = 30.0;
+/// Within this time the tasks of a gang notice that one of them is gone.
+const GANG_PEER_S: f64 = 4.0;
 
 struct Playground {
     start: Instant,
     state: RefCell<State>,
     cloud: RefCell<Cloud>,
     workers: RefCell<BTreeMap<String, Worker>>,
+    gangs: RefCell<Gangs>,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -51,7 +65,8 @@
         fs::write(dir.join(format!("node-{node}.toml")), settings(node))?;
     }
     fs::write(dir.join("job.json"), JOB)?;
-    println!("settings and a job are in {}; stop with Ctrl-C", dir.display());
+    fs::write(dir.join("gang.json"), GANG)?;
+    println!("settings and two jobs are in {}; stop with Ctrl-C", dir.display());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, serve())
 }
@@ -62,6 +77,12 @@
  "reckon_s":10.0,"mark_s":0.0,"stow_s":0.0}
 "#;
 
+const GANG: &str = r#"{"name_id":"job-000002","rig":"batch","crew":"red","build":"ensemble",
+ "urgency":"normal","pieces":12,"vcpus":4.0,"gpus":0.0,"ram_gb":4.0,"pattern":"img",
+ "size_gb":1.0,"one_zone":true,"scatter":false,"driftwood":true,
+ "reckon_s":10.0,"mark_s":5.0,"stow_s":1.0}
+"#;
+
 fn settings(node: usize) -> String {
     let mut text = format!(
         "node = \"node-{node}\"\nsite = \"a\"\nbind = \"127.0.0.1:{}\"\nmesh_addr = \"127.0.0.1:{}\"\n",
@@ -89,8 +110,9 @@
 cpus_max = 200.0
 
 [deployment.workers]
-report_s = 3.0
-lease_s = 30.0
+report_s = {REPORT_S:.1}
+lease_s = {LEASE_S:.1}
+gang_peer_s = {GANG_PEER_S:.1}
 cancel_s = 50.0
 
 [deployment.state]
@@ -136,10 +158,12 @@
         })),
         cloud: RefCell::new(Cloud::new(types, capacity, 4.0)),
         workers: RefCell::default(),
+        gangs: RefCell::new(Gangs::new(GANG_PEER_S)),
     });
     let limits = Limits::for_connections(1000);
     let cloud = Server::new(TcpListener::bind(("127.0.0.1", CLOUD)).await?, limits);
     let state = Server::new(TcpListener::bind(("127.0.0.1", STATE)).await?, limits);
+    spawn_local(play.clone().step_gangs());
     let (a, b) = (play.clone(), play);
     spawn_local(cloud.run(move |request| {
         let play = a.clone();
@@ -172,6 +196,15 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Lets the tasks of gangs meet, run and end together.
+    async fn step_gangs(self: Rc<Self>) {
+        loop {
+            sleep(STEP).await;
+            let mut workers = self.workers.borrow_mut();
+            self.gangs.borrow_mut().step(self.now(), &mut workers);
+        }
+    }
+
     fn answer_state(&self, request: &Request) -> Response {
         let prefix = || query(request, "starts").unwrap_or("").to_owned();
         let lease = || request.path.split('/').nth(2).and_then(|id| id.parse().ok());
@@ -251,7 +284,7 @@
 
     /// Boots a machine and runs its worker until the machine is gone.
     async fn work(self: Rc<Self>, name: String) {
-        sleep(Duration::from_secs(5)).await;
+        sleep(BOOT).await;
         let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else { return };
         let Ok(addr) = listener.local_addr() else { return };
         if !self.cloud.borrow().present().contains(&name) {
@@ -260,7 +293,7 @@
         let spot = self.cloud.borrow().machines[&name].spot;
         let room = (32.0, 0.0, 64.0);
         let worker =
-            Worker::new(name.clone(), "m32".into(), "a".into(), spot, room, 30.0, self.now(), 0);
+            Worker::new(name.clone(), "m32".into(), "a".into(), spot, room, LEASE_S, self.now(), 0);
         self.workers.borrow_mut().insert(name.clone(), worker);
         println!("{name} is up at {addr}");
         let direct = spawn_local({
@@ -272,34 +305,29 @@
         });
         let mut next = self.now();
         loop {
-            sleep(Duration::from_millis(100)).await;
+            sleep(STEP).await;
             let now = self.now();
-            let report = {
+            let (node, report) = {
                 let mut workers = self.workers.borrow_mut();
                 let Some(worker) = workers.get_mut(&name) else { break };
                 worker.step(now);
-                let due = now >= next || (worker.changed && now >= next - 2.5);
+                let due =
+                    now >= next || (worker.changed && now >= next - REPORT_S + CHANGE_REPORT_S);
                 if !due {
                     continue;
                 }
                 worker.changed = false;
-                next = now + 3.0;
+                next = now + REPORT_S;
                 let mut report = worker.report(now);
                 report.addr = addr.to_string();
                 (worker.node, report)
             };
-            self.send_report(&name, report.0, &report.1, now).await;
+            self.send_report(&name, node, &report, now).await;
         }
         direct.abort();
     }
 
-    async fn send_report(
-        &self,
-        name: &str,
-        node: usize,
-        report: &gladekeel_wire::worker::Report,
-        sent_at: f64,
-    ) {
+    async fn send_report(&self, name: &str, node: usize, report: &Report, sent_at: f64) {
         let client = Client::new(SocketAddr::from(([127, 0, 0, 1], NODES[node])), 0);
         let body = serde_json::to_vec(report).unwrap_or_default();
         let reply = client.send("POST", "/checkin", &body, Duration::from_secs(4)).await;
