--- a/crates/gladekeel-controller/tests/production_formats.rs
+++ b/crates/gladekeel-controller/tests/formats_37c5e95.rs
@@ -1,10 +1,10 @@
-//! What the production version keeps in the state service, read by this one.
+//! What version 37c5e95, in production once, keeps in the state service, read by this one.
 //!
-//! The files in `fixtures` were written by commit
-//! 37c5e95213a12123977e782109b725d8fe96dbed: the values that two of its nodes committed,
-//! key and value on each line, and two segments of its log's writer. An update begins on
-//! such data, and nodes of both versions go on with each other's, so these files never
-//! change with the code.
+//! The files `fixtures/37c5e95_*` were written by commit
+//! 37c5e95213a12123977e782109b725d8fe96dbed, which is called production here: the values
+//! that two of its nodes committed, key and value on each line, and two segments of its
+//! log's writer. What it stored must stay readable, so these files never change with the
+//! code.
 
 use gladekeel_controller::{
     keys::{self, LeaderRecord},
@@ -28,7 +28,7 @@
 
 /// The values that production committed, in order.
 fn stored() -> Vec<(String, Value)> {
-    let lines = include_str!("fixtures/production_values.jsonl").lines();
+    let lines = include_str!("fixtures/37c5e95_values.jsonl").lines();
     lines
         .map(|line| {
             let row: Value = serde_json::from_str(line).unwrap();
@@ -64,7 +64,7 @@
 /// that misreads one starts tasks twice or loses finished ones.
 #[test]
 fn segments_are_read_and_written_as_production_s() {
-    let text = include_str!("fixtures/production_segment.txt").trim_end();
+    let text = include_str!("fixtures/37c5e95_segment.txt").trim_end();
     let (a, b) = (job("job-000412"), job("job-a_b.c-9"));
     let assigned = |job: &JobId, index, machine: &str, session, attempt| Assigned {
         job: job.clone(),
@@ -108,7 +108,7 @@
 /// they are still there when the service takes only 2 KB.
 #[test]
 fn segments_beyond_the_lowered_limit_are_read() {
-    let text = include_str!("fixtures/production_segment_large.txt").trim_end();
+    let text = include_str!("fixtures/37c5e95_segment_large.txt").trim_end();
     assert!(text.len() > 2048 && text.len() * 3 / 4 > capacity(2048));
     let segment = decode(text).expect("production's segment");
     let a = job("job-000412");
--- /dev/null
+++ b/crates/gladekeel-controller/tests/formats_fe9a16c.rs
@@ -0,0 +1,243 @@
+//! What version fe9a16c keeps in the state service, read by this one and written again.
+//!
+//! The files `fixtures/fe9a16c_*` were written by commit
+//! fe9a16c011fb47333bb3733953d6dba020195efa: the values that three of its nodes committed
+//! while they ran, stopped, cancelled and finished gangs, an array and a service, key and
+//! value on each line and in order, and two segments of its log's writer. An update begins
+//! on such data, and nodes of both versions go on with each other's, so these files never
+//! change with the code.
+
+use gladekeel_controller::{
+    keys::{self, LeaderRecord},
+    log::{Assigned, End, Progress, Released, Segment, Writer, capacity, decode},
+    world::World,
+};
+use gladekeel_store::Change;
+use gladekeel_wire::{
+    JobId,
+    cloud::MachineTypes,
+    job::{JobSpec, JobState, Kind},
+};
+use serde_json::Value;
+
+const TOKEN: u64 = 41 << 32;
+/// The tokens under which the leaders of the fixture led, as numbers of attempts.
+const FIRST_LEADER: u64 = 2 << 24;
+const SECOND_LEADER: u64 = 29 << 24;
+
+fn job(id: &str) -> JobId {
+    id.parse().unwrap()
+}
+
+/// The values that fe9a16c committed, in order.
+fn stored() -> Vec<(String, Value)> {
+    let lines = include_str!("fixtures/fe9a16c_values.jsonl").lines();
+    lines
+        .map(|line| {
+            let row: Value = serde_json::from_str(line).unwrap();
+            (row["key"].as_str().unwrap().to_owned(), row["value"].clone())
+        })
+        .collect()
+}
+
+fn value(key: &str) -> Value {
+    stored().into_iter().find(|(k, _)| k == key).expect("the fixture has this key").1
+}
+
+/// The same segment by this version's writer.
+fn encode(segment: &Segment) -> String {
+    let mut writer = Writer::default();
+    for row in &segment.assigned {
+        writer.assign(&row.job, row.index, &row.machine, row.session, row.attempt);
+    }
+    for row in &segment.released {
+        writer.release(&row.job, row.index, row.attempt, row.end);
+    }
+    for row in &segment.progress {
+        writer.progress(&row.job, row.chunk, &row.done, &row.restarted);
+    }
+    writer.encode(segment.seq)
+}
+
+fn assigned(job: &JobId, index: u32, machine: &str, session: u64, attempt: u64) -> Assigned {
+    Assigned { job: job.clone(), index, machine: machine.into(), session, attempt }
+}
+
+fn released(job: &JobId, index: u32, attempt: u64, end: End) -> Released {
+    Released { job: job.clone(), index, attempt, end }
+}
+
+/// Guards against a gang that is told otherwise: each task has the id that its gang's
+/// number and its own make.
+#[test]
+fn segments_with_a_gang_are_read_and_written() {
+    let text = include_str!("fixtures/fe9a16c_segment.txt").trim_end();
+    let (gang, array) = (job("job-g.1"), job("job-000412"));
+    let expected = Segment {
+        seq: 300,
+        assigned: vec![
+            assigned(&gang, 0, "n-000001", 1, TOKEN + 64),
+            assigned(&gang, 1, "n-000002", 1, TOKEN + 65),
+            assigned(&gang, 2, "n-000003", 4, TOKEN + 66),
+            assigned(&array, 99_999, "n-000003", 4, TOKEN + 67),
+        ],
+        released: vec![
+            released(&gang, 1, TOKEN + 65, End::Again),
+            released(&gang, 0, TOKEN + 64, End::Done),
+            released(&array, 7, TOKEN + 3, End::Restart),
+        ],
+        progress: vec![Progress {
+            job: array,
+            chunk: 24,
+            done: vec![0x80, 0x01],
+            restarted: vec![0x10],
+        }],
+    };
+    assert_eq!(decode(text), Ok(expected.clone()));
+    assert_eq!(encode(&expected), text);
+}
+
+/// Guards against a smaller bound on what is read: fe9a16c fills segments up to what a
+/// value of 2 KB holds.
+#[test]
+fn full_segments_are_read_and_written() {
+    let text = include_str!("fixtures/fe9a16c_segment_full.txt").trim_end();
+    assert!(text.len() + 2 <= 2048 && text.len() > 1900, "{} characters", text.len());
+    assert!(text.len() * 3 / 4 <= capacity(2048));
+    let gang = job("job-g.1");
+    let rows = (0..71)
+        .map(|n| assigned(&gang, n, &format!("n-{:06}", n / 4), 1, TOKEN + 128 + u64::from(n)))
+        .collect();
+    let expected = Segment { seq: 301, assigned: rows, ..Segment::default() };
+    assert_eq!(decode(text), Ok(expected.clone()));
+    assert_eq!(encode(&expected), text);
+}
+
+/// Guards against a log that this version's leader reads otherwise, and against one that
+/// it writes otherwise: every segment of the fixture becomes the same text again.
+#[test]
+fn a_committed_log_is_read_and_written() {
+    let texts: Vec<(String, String)> = stored()
+        .into_iter()
+        .filter(|(key, _)| key.starts_with(keys::LOG))
+        .map(|(key, value)| (key, value.as_str().unwrap().to_owned()))
+        .collect();
+    let mut log = Vec::new();
+    for (seq, (key, text)) in (0..).zip(&texts) {
+        let segment = decode(text).expect("a segment");
+        assert_eq!(segment.seq, seq, "{key}");
+        assert_eq!(&encode(&segment), text, "{key}");
+        log.push(segment);
+    }
+    assert_eq!(log.len(), 13);
+    // The second leader writes over the slots in which nothing counts any more.
+    assert_eq!((texts[11].0.as_str(), texts[12].0.as_str()), ("gl/000000", "gl/000001"));
+
+    let (first, second) = (job("job-g_2"), job("job-g.1"));
+    let of = |segment: &Segment, job: &JobId| -> Vec<(u32, u64, String)> {
+        let rows = segment.assigned.iter().filter(|row| row.job == *job);
+        rows.map(|row| (row.index, row.attempt, row.machine.clone())).collect()
+    };
+    let on = |index: u32, attempt: u64, machine: &str| (index, attempt, machine.to_owned());
+    // Begun, stopped with its machine, begun anew under another number.
+    assert_eq!(
+        of(&log[0], &first),
+        [on(0, FIRST_LEADER, "n-000001"), on(1, FIRST_LEADER + 1, "n-000001")]
+    );
+    assert_eq!(
+        of(&log[6], &first),
+        [on(0, FIRST_LEADER + 12, "n-000002"), on(1, FIRST_LEADER + 13, "n-000002")]
+    );
+    let ends = |segment: &Segment| -> Vec<(u32, u64, End)> {
+        segment.released.iter().map(|row| (row.index, row.attempt, row.end)).collect()
+    };
+    assert_eq!(ends(&log[5]), [(0, FIRST_LEADER, End::Again), (1, FIRST_LEADER + 1, End::Again)]);
+    // Done with its first task; the others are released as they are proved to be gone.
+    assert_eq!(
+        of(&log[2], &second),
+        [
+            on(0, FIRST_LEADER + 9, "n-000004"),
+            on(1, FIRST_LEADER + 10, "n-000005"),
+            on(2, FIRST_LEADER + 11, "n-000005"),
+        ]
+    );
+    assert_eq!(ends(&log[7]), [(0, FIRST_LEADER + 9, End::Done)]);
+    assert_eq!(
+        ends(&log[8]),
+        [(1, FIRST_LEADER + 10, End::Done), (2, FIRST_LEADER + 11, End::Done)]
+    );
+    assert_eq!(
+        of(&log[11], &job("job-g.5")),
+        [on(0, SECOND_LEADER, "n-000002"), on(1, SECOND_LEADER + 1, "n-000002")]
+    );
+}
+
+/// Guards against stored values that are read otherwise than fe9a16c meant them.
+#[test]
+fn the_stored_world_is_read() {
+    let mut world = World::default();
+    let rows = stored();
+    for (version, (key, value)) in (10..).zip(rows.clone()) {
+        world.apply(&Change { key, now: Some((value, version)) }, 5.0);
+    }
+    let record = LeaderRecord { node: "node-2".into(), run: 4_463_397_701_659_385_190 };
+    assert_eq!(world.leader.as_ref().map(|(record, _)| record), Some(&record));
+    assert_eq!(world.types.as_ref().map(|(types, _)| types.types.len()), Some(1));
+    assert_eq!(
+        (world.options.len(), world.options["beta"], world.options["idle_s"]),
+        (11, 1.5, 200.0)
+    );
+    assert_eq!(world.drains.keys().collect::<Vec<_>>(), ["n-000001"]);
+
+    let shapes = ["job-a-3", "job-g.1", "job-g.5", "job-g_2", "job-s.4"].map(|id| {
+        let spec = &world.jobs[&job(id)].spec;
+        (spec.kind, spec.tasks, spec.one_zone, spec.zone.as_deref())
+    });
+    let expected = [
+        (Kind::Array, 5, false, None),
+        (Kind::Gang, 3, true, None),
+        (Kind::Gang, 2, false, None),
+        (Kind::Gang, 2, false, Some("b")),
+        (Kind::Service, 2, false, None),
+    ];
+    assert_eq!((world.jobs.len(), shapes), (5, expected));
+    let gang = &world.jobs[&job("job-g.1")].spec;
+    assert_eq!((gang.checkpoint_s, gang.save_s), (5.0, 2.0));
+    assert_eq!(world.jobs[&job("job-g.1")].accepted_at, Some(3.305527));
+
+    let fates =
+        ["job-a-3", "job-g.1", "job-g.5", "job-g_2", "job-s.4"].map(|id| world.fates[&job(id)]);
+    let (done, cancelled) = (JobState::Done, JobState::Cancelled);
+    assert_eq!(fates, [done, done, done, cancelled, cancelled]);
+}
+
+/// Guards against values that fe9a16c could not read back: this version writes the same.
+#[test]
+fn values_are_written_as_by_fe9a16c() {
+    let mut jobs = 0;
+    for (key, stored) in stored() {
+        let written = if key.starts_with(keys::JOB) {
+            jobs += 1;
+            let spec: JobSpec = serde_json::from_value(stored.clone()).unwrap();
+            let mut value = serde_json::to_value(&spec).unwrap();
+            value[keys::ACCEPTED_AT] = stored[keys::ACCEPTED_AT].clone();
+            value
+        } else if key.starts_with(keys::FATE) {
+            let state: JobState = serde_json::from_value(stored.clone()).unwrap();
+            serde_json::to_value(state).unwrap()
+        } else if key == keys::LEADER {
+            let record: LeaderRecord = serde_json::from_value(stored.clone()).unwrap();
+            serde_json::to_value(record).unwrap()
+        } else if key == keys::TYPES {
+            let types: MachineTypes = serde_json::from_value(stored.clone()).unwrap();
+            serde_json::to_value(types).unwrap()
+        } else {
+            continue;
+        };
+        assert_eq!(written, stored, "{key}");
+    }
+    assert_eq!(jobs, 5);
+    assert_eq!(value(&keys::fate(&job("job-g.1"))), "done");
+    assert_eq!(value(&keys::fate(&job("job-g_2"))), "aborted");
+    assert_eq!(value(&keys::drain("n-000001")), true);
+}
--- a/crates/gladekeel-testkit/tests/two_versions.rs
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -1,5 +1,6 @@
-//! A node by itself, whose peers are of this version or of the production one: that
-//! tells level 0 in its hellos, and ends a connection over a frame of a kind above 5.
+//! A node by itself, whose peers are of this version or of an earlier one. Version 37c5e95,
+//! called production here, tells level 0 in its hellos and ends a connection over a frame
+//! of a kind above 5. Version fe9a16c tells level 1 and knows kind 6.
 
 use gladekeel_controller::{
     cloud::{CloudCall, CloudOutcome},
@@ -18,8 +19,9 @@
     job::{JobState, JobStatus},
     mesh::{Header, Kind, LEVEL, read_jobs},
     state::{Txn, Write},
+    worker::{Command, ReportAnswer},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use std::collections::VecDeque;
 
 /// A hello's payload as production lays it out: milliseconds since the last contact to
@@ -38,6 +40,8 @@
     requests: u64,
     frames: Vec<(usize, Header, u16, Vec<u8>)>,
     replies: Vec<(u64, u16, Vec<u8>)>,
+    /// Commands that were sent to workers directly.
+    direct: Vec<Command>,
 }
 
 impl Rig {
@@ -51,6 +55,17 @@
             requests: 0,
             frames: Vec::new(),
             replies: Vec::new(),
+            direct: Vec::new(),
+        }
+    }
+
+    /// Stores a value as another node would.
+    fn store(&mut self, key: &str, value: Value) -> u64 {
+        let put = Write::Put { key: key.into(), value, lease: None };
+        let txn = Txn { guards: Vec::new(), writes: vec![put] };
+        match self.state.call(0.0, 1, &Call::Commit(txn)) {
+            Outcome::Committed(version) => version,
+            other => panic!("not stored: {other:?}"),
         }
     }
 
@@ -76,6 +91,10 @@
                     self.replies.push((id, reply.status, reply.body));
                     continue;
                 }
+                Action::Direct { request, .. } => {
+                    self.direct.extend(request.body.into_iter().flat_map(|body| body.commands));
+                    continue;
+                }
                 _ => continue,
             };
             actions.extend(self.node.handle(now, event));
@@ -202,10 +221,7 @@
 fn a_setting_of_another_version_costs_no_other() {
     let mut rig = Rig::new(&[Some(0), Some(0)]);
     let value = json!({"beta": 1.5, "round_s": 2.0, "of_another_version": 7.5});
-    let put = Write::Put { key: keys::OPTIONS.into(), value, lease: None };
-    let stored =
-        rig.state.call(0.0, 1, &Call::Commit(Txn { guards: Vec::new(), writes: vec![put] }));
-    let Outcome::Committed(version) = stored else { panic!("not stored: {stored:?}") };
+    let version = rig.store(keys::OPTIONS, value);
     rig.run(5);
     let (status, body) = rig.request("GET", "/admin/settings", Vec::new());
     assert_eq!(status, 200);
@@ -214,3 +230,62 @@
     assert_eq!((read.settings["beta"], read.settings["round_s"]), (1.5, 2.0));
     assert!(!read.settings.contains_key("of_another_version"));
 }
+
+/// Guards against a takeover from fe9a16c that starts a gang again, or does not know that
+/// it is done: the store holds what its leader had committed while the gangs ran.
+#[test]
+fn gangs_that_fe9a16c_placed_run_on() {
+    let mut rig = Rig::new(&[Some(1), Some(1)]);
+    let text = include_str!("../../gladekeel-controller/tests/fixtures/fe9a16c_values.jsonl");
+    for line in text.lines() {
+        let row: Value = serde_json::from_str(line).unwrap();
+        let key = row["key"].as_str().unwrap();
+        if key == "gk/fate/job-g.1" {
+            break;
+        }
+        // Its leader is gone, and the key went with its lease.
+        if key != keys::LEADER {
+            rig.store(key, row["value"].clone());
+        }
+    }
+    rig.run(5);
+    let token = rig.node.leader().expect("it leads").token;
+    let poll = |rig: &mut Rig, name: &str| -> JobStatus {
+        let (status, body) = rig.request("GET", &format!("/api/jobs/{name}"), Vec::new());
+        assert_eq!(status, 200, "{name}");
+        serde_json::from_slice(&body).unwrap()
+    };
+    let gang = poll(&mut rig, "job-g.1");
+    assert_eq!((gang.state, gang.running), (JobState::Running, Some(3)));
+    assert_eq!(poll(&mut rig, "job-g_2").running, Some(2));
+    assert_eq!(poll(&mut rig, "job-a-3").state, JobState::Done);
+
+    let mut commands = Vec::new();
+    let mut report = |rig: &mut Rig, machine: &str, seq: u64, tasks: Value| {
+        let body = json!({
+            "berth": machine, "endpoint": machine, "hull": "m32", "yard": "a", "driftwood": false,
+            "watch": 1, "tally": seq, "helm": token, "pieces": tasks,
+        });
+        let (status, body) = rig.request("POST", "/checkin", body.to_string().into_bytes());
+        assert_eq!(status, 200, "{machine}");
+        let answer: ReportAnswer = serde_json::from_slice(&body).unwrap();
+        commands.extend(answer.commands);
+    };
+    let (first, second) = (33_554_441, 33_554_444);
+    let runs = |id: &str, number: u64| json!({"piece": id, "try": number, "trim": "running"});
+    let others = json!([runs("job-g.1/1", first), runs("job-g.1/2", first)]);
+    let whole = json!([runs("job-g_2/0", second), runs("job-g_2/1", second)]);
+    report(&mut rig, "n-000002", 100, whole.clone());
+    report(&mut rig, "n-000005", 100, others.clone());
+    let done = json!([{"piece": "job-g.1/0", "try": first, "trim": "exited", "cause": "done"}]);
+    report(&mut rig, "n-000004", 100, done);
+    report(&mut rig, "n-000002", 101, whole);
+    report(&mut rig, "n-000005", 101, others);
+    assert_eq!(poll(&mut rig, "job-g.1").state, JobState::Done, "one is done, so all are");
+    let gang = poll(&mut rig, "job-g_2");
+    assert_eq!((gang.state, gang.running), (JobState::Running, Some(2)));
+    let all = commands.iter().chain(&rig.direct);
+    let starts: Vec<&Command> =
+        all.filter(|command| matches!(command, Command::Start { .. })).collect();
+    assert!(starts.is_empty(), "{starts:?}");
+}
--- a/crates/gladekeel-wire/tests/production_frames.rs
+++ b/crates/gladekeel-wire/tests/frames_37c5e95.rs
@@ -1,9 +1,9 @@
-//! Frames as the production version sends them, read by this one.
+//! Frames as version 37c5e95, in production once, sends them, read by this one.
 //!
-//! `fixtures/production_frames.txt` holds what two nodes of commit
-//! 37c5e95213a12123977e782109b725d8fe96dbed sent each other: a name and the frame in
-//! hex on each line. While a deployment is updated both versions run side by side, so
-//! these bytes never change with the code.
+//! `fixtures/37c5e95_frames.txt` holds what two nodes of commit
+//! 37c5e95213a12123977e782109b725d8fe96dbed, which is called production here, sent each
+//! other: a name and the frame in hex on each line. These bytes never change with the
+//! code.
 
 use gladekeel_wire::{
     JobId,
@@ -14,7 +14,7 @@
 
 /// The bytes of the frame with this name.
 fn frame(name: &str) -> Vec<u8> {
-    let text = include_str!("fixtures/production_frames.txt");
+    let text = include_str!("fixtures/37c5e95_frames.txt");
     let mut frames = text.lines().filter_map(|line| line.split_once(' '));
     let (_, hex) = frames.find(|(n, _)| *n == name).expect("the fixture has this frame");
     hex.as_bytes()
--- /dev/null
+++ b/crates/gladekeel-wire/tests/frames_fe9a16c.rs
@@ -0,0 +1,216 @@
+//! Frames as version fe9a16c sends them, read by this one and written again.
+//!
+//! `fixtures/fe9a16c_frames.txt` holds what three nodes of commit
+//! fe9a16c011fb47333bb3733953d6dba020195efa sent each other while gangs waited, ran, were
+//! stopped and were cancelled: a name and the frame in hex on each line. While a
+//! deployment is updated both versions run side by side, so these bytes never change with
+//! the code.
+
+use gladekeel_wire::{
+    JobId,
+    mesh::{
+        Header, Hello, Kind, LEVEL, MAX_PAYLOAD, read_counts, read_jobs, write_counts, write_jobs,
+    },
+    worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState},
+};
+use zerocopy::{FromBytes, IntoBytes};
+
+/// The token under which fe9a16c led, and the first number of an attempt under it.
+const TOKEN: u64 = 2;
+const FIRST: u64 = TOKEN << 24;
+
+/// The bytes of the frame with this name.
+fn frame(name: &str) -> Vec<u8> {
+    let text = include_str!("fixtures/fe9a16c_frames.txt");
+    let mut frames = text.lines().filter_map(|line| line.split_once(' '));
+    let (_, hex) = frames.find(|(n, _)| *n == name).expect("the fixture has this frame");
+    hex.as_bytes()
+        .chunks(2)
+        .map(|two| u8::from_str_radix(std::str::from_utf8(two).unwrap(), 16).unwrap())
+        .collect()
+}
+
+/// The head and payload of a frame, which is exactly as long as its head tells.
+fn open(frame: &[u8]) -> (Header, Kind, &[u8]) {
+    let (head, payload) = frame.split_at(Header::SIZE);
+    let (header, kind) = Header::read(head.try_into().unwrap()).expect("a head of fe9a16c");
+    assert_eq!(header.len.get() as usize, payload.len());
+    (header, kind, payload)
+}
+
+/// The kind, the numbers of the head and the payload as this version writes them.
+fn write(kind: Kind, status: u16, call: u64, from: u32, payload: &[u8]) -> Vec<u8> {
+    let mut frame = Header::new(kind, status, call, from, payload.len()).as_bytes().to_vec();
+    frame.extend_from_slice(payload);
+    frame
+}
+
+fn job(id: &str) -> JobId {
+    id.parse().unwrap()
+}
+
+fn report(name: &str) -> Report {
+    let bytes = frame(name);
+    let payload = open(&bytes).2;
+    let report: Report = serde_json::from_slice(payload).expect("a report");
+    assert_eq!(serde_json::to_vec(&report).unwrap(), payload, "{name} is written again");
+    report
+}
+
+fn answer(name: &str) -> ReportAnswer {
+    let bytes = frame(name);
+    let payload = open(&bytes).2;
+    let answer: ReportAnswer = serde_json::from_slice(payload).expect("an answer");
+    assert_eq!(serde_json::to_vec(&answer).unwrap(), payload, "{name} is written again");
+    answer
+}
+
+fn task(
+    id: &str,
+    attempt: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+    saved: Option<bool>,
+) -> TaskReport {
+    TaskReport { task: id.parse().unwrap(), attempt, state, cause, saved }
+}
+
+/// Guards against a head whose fields move, widen or change their meaning.
+#[test]
+fn heads_are_read_and_written() {
+    for (name, kind, status, call, from) in [
+        ("nudge", Kind::Nudge, 0, 0, 0),
+        ("relay-waiting", Kind::Relay, 0, 0x83, 2),
+        ("relay-stopped", Kind::Relay, 0, 0x77, 2),
+        ("relayed-run", Kind::Relayed, 200, 0x7e, 1),
+        ("relayed-halt", Kind::Relayed, 200, 0x6e, 1),
+        ("hello-leader", Kind::Hello, 1, 0, 1),
+        ("hello-follower", Kind::Hello, 1, 0, 0),
+        ("counts", Kind::Counts, 0, 0, 1),
+        ("cancelled", Kind::Cancelled, 0, 0, 1),
+    ] {
+        let bytes = frame(name);
+        let (header, read, payload) = open(&bytes);
+        assert_eq!(read, kind, "{name}");
+        let numbers = (header.status.get(), header.call.get(), header.from.get());
+        assert_eq!(numbers, (status, call, from), "{name}");
+        assert_eq!(write(kind, status, call, from, payload), bytes, "{name}");
+    }
+}
+
+/// Guards against a frame that ends the connection: fe9a16c reads these kinds, up to this
+/// size, and no others.
+#[test]
+fn kinds_and_sizes_are_those_that_fe9a16c_reads() {
+    let known = [
+        (1, Kind::Nudge),
+        (2, Kind::Relay),
+        (3, Kind::Relayed),
+        (4, Kind::Hello),
+        (5, Kind::Counts),
+        (6, Kind::Cancelled),
+    ];
+    for (number, kind) in known {
+        assert_eq!(Kind::from_number(number), Some(kind));
+        assert_eq!(kind as u16, number);
+    }
+    // A kind that fe9a16c does not know must come with a level above 1, which peers of
+    // fe9a16c never tell.
+    let newer = (0..=u16::MAX).filter(|n| Kind::from_number(*n).is_some()).count() - known.len();
+    assert!(newer == 0 || LEVEL > 1, "{newer} kinds are new");
+    assert_eq!(MAX_PAYLOAD, 262_144);
+    assert_eq!((Header::SIZE, size_of::<Hello>()), (24, 12));
+}
+
+/// Guards against a level that fe9a16c would take for less than it understands, and
+/// against hellos that one of the versions misreads.
+#[test]
+fn hellos_tell_the_level() {
+    for (name, from, leads) in [("hello-leader", 1, TOKEN), ("hello-follower", 0, 0)] {
+        let bytes = frame(name);
+        let (header, _, payload) = open(&bytes);
+        assert_eq!(header.status.get(), 1, "{name}");
+        let hello = Hello::read_from_bytes(payload).expect("a hello");
+        assert_eq!((hello.contact_ms.get(), hello.leads.get()), (199, leads), "{name}");
+        let hello = Hello { contact_ms: 199.into(), leads: leads.into() };
+        assert_eq!(write(Kind::Hello, 1, 0, from, hello.as_bytes()), bytes, "{name}");
+    }
+    let ours = LEVEL;
+    assert!(ours >= 1, "cancellations go to peers of level 1 and more");
+}
+
+/// Guards against cancellations that the other version does not find in the frame.
+#[test]
+fn cancelled_jobs_are_read_and_written() {
+    let bytes = frame("cancelled");
+    let (_, _, payload) = open(&bytes);
+    let jobs = read_jobs(payload).expect("ids");
+    assert_eq!(jobs, [job("job-g_2")]);
+    assert_eq!(write_jobs(jobs.iter()), payload);
+    // Several of them stand one a line; the fixture has one alone.
+    let two = [job("job-g_2"), job("job-s.4")];
+    assert_eq!(write_jobs(two.iter()), b"job-g_2\njob-s.4");
+}
+
+/// Guards against rows of counts that shift: the ids follow rows of a fixed size.
+#[test]
+fn counts_are_read_and_written() {
+    let bytes = frame("counts");
+    let (_, _, payload) = open(&bytes);
+    let rows = read_counts(payload).expect("counts");
+    assert_eq!(rows, [(job("job-g_2"), 0, 2), (job("job-a-3"), 0, 4), (job("job-s.4"), 0, 2)]);
+    let ours = write_counts(rows.iter().map(|(id, done, running)| (id, *done, *running)));
+    assert_eq!(ours, [payload.to_vec()]);
+}
+
+/// Guards against states of a gang's tasks that get lost on the way to a leader of the
+/// other version: one that waits holds its machine, one that saved has its progress.
+#[test]
+fn relayed_reports_of_gangs_are_read_and_written() {
+    let waiting = report("relay-waiting");
+    assert_eq!((waiting.machine.as_str(), waiting.zone.as_str()), ("n-000002", "b"));
+    assert_eq!((waiting.session, waiting.seq, waiting.token), (1, 11, TOKEN));
+    let attempt = FIRST + 12;
+    assert_eq!(
+        waiting.tasks,
+        ["job-g_2/0", "job-g_2/1"].map(|id| task(id, attempt, TaskState::Waiting, None, None)),
+        "the tasks of a gang share their number"
+    );
+
+    let (state, cause, saved) = (TaskState::Exited, Some(Cause::Stopped), Some(true));
+    assert_eq!(
+        report("relay-stopped").tasks,
+        [
+            task("job-g_2/0", FIRST, state, cause, saved),
+            task("job-g_2/1", FIRST, state, cause, saved),
+            task("job-s.4/0", FIRST + 2, TaskState::Running, None, None),
+            task("job-s.4/1", FIRST + 3, TaskState::Running, None, None),
+        ]
+    );
+}
+
+/// Guards against commands to gangs that a node of the other version cannot hand to a
+/// worker: the answer is read and written by the node that the worker reports to.
+#[test]
+fn relayed_commands_to_gangs_are_read_and_written() {
+    let (first, second) = ("job-g_2/0".parse().unwrap(), "job-g_2/1".parse().unwrap());
+    let run = answer("relayed-run");
+    assert_eq!(run.token, TOKEN);
+    let attempt = FIRST + 12;
+    let starts =
+        [Command::Start { task: first, attempt }, Command::Start { task: second, attempt }];
+    assert_eq!(run.commands, starts);
+
+    let halt = answer("relayed-halt");
+    let stops = ["job-g_2/0", "job-g_2/1"].map(|id| Command::Stop {
+        task: id.parse().unwrap(),
+        attempt: FIRST,
+        grace_s: 4.0,
+    });
+    assert_eq!(halt.commands[..2], stops);
+    let forgets = [0, 1, 2, 3].map(|n| Command::Forget {
+        task: format!("job-a-3/{n}").parse().unwrap(),
+        attempt: FIRST + 4 + n,
+    });
+    assert_eq!(halt.commands[2..], forgets);
+}
