A submission whose job shows in a reading is answered 200, not 201

Cause: a submission whose own transaction is slow to answer was told 201 as soon as the job showed in a reading. Another node may have put it there, so a repeat of a known job could get 201 instead of 200. Ruled out: an older answer after a newer one; the job's state in these answers was right.

--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -236,7 +236,8 @@
         }
     }
 
-    /// Answers users whose change shows in the store although its own answer is slow.
+    /// Answers users whose change shows in the store although its own answer is slow. A job
+    /// that shows may have been put there through another node, so it is told as known.
     pub(super) fn answer_written(&mut self, now: f64) {
         let mut shown = Vec::new();
         for (call, (purpose, _, sent_at)) in &mut self.calls {
@@ -256,8 +257,7 @@
         }
         for (call, write) in shown {
             if let Some(status) = api::status(&self.world, &write.id) {
-                let code = if write.spec.is_some() { 201 } else { 200 };
-                self.reply(now, write.request, Reply::json(code, &status));
+                self.reply(now, write.request, Reply::json(200, &status));
             }
             if self
                 .calls
