Stand-ins: a start costs the same however many tasks the machine and the job have

The checker now counts a job's tasks by zone and its completed tasks, and the worker looks its tasks up once for each message. What is checked is unchanged.

--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -71,6 +71,8 @@
     /// How much longer than the one before it each task of a job runs.
     pub apart_s: BTreeMap<JobId, f64>,
     on: BTreeMap<TaskId, Vec<Place>>,
+    /// How many tasks of each job are on machines of each zone.
+    zones: BTreeMap<JobId, BTreeMap<String, u32>>,
     /// What each team's tasks on machines use: CPUs and GPUs.
     uses: BTreeMap<String, (f64, f64)>,
     /// Jobs that a user was told are cancelled.
@@ -80,6 +82,8 @@
     /// When the last trouble is over.
     pub calm_from: f64,
     completed: BTreeSet<TaskId>,
+    /// How many tasks of each job have completed.
+    completed_of: BTreeMap<JobId, usize>,
     /// Tasks of gangs that began to run at this instant, by job and attempt.
     together: BTreeMap<(JobId, u64), BTreeSet<TaskId>>,
     told: BTreeMap<JobId, Told>,
@@ -100,11 +104,13 @@
             specs: BTreeMap::new(),
             apart_s: BTreeMap::new(),
             on: BTreeMap::new(),
+            zones: BTreeMap::new(),
             uses: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             began: BTreeMap::new(),
             calm_from: 0.0,
             completed: BTreeSet::new(),
+            completed_of: BTreeMap::new(),
             together: BTreeMap::new(),
             told: BTreeMap::new(),
             starts: 0,
@@ -283,21 +289,17 @@
         if spec.kind != Kind::Gang {
             self.began.entry(task.job.clone()).or_insert(now);
         }
-        let zoned = spec.one_zone || spec.spread;
-        let others: Vec<&Place> = self
-            .tasks_of(&task.job)
-            .filter(|(other, _)| zoned && *other != task)
-            .flat_map(|(_, places)| places)
-            .collect();
-        let same_zone = others.iter().filter(|place| place.zone == zone).count() as u32;
+        let (same_zone, other_zones) = self.others_by_zone(task, zone);
         let wrong = (spot && !spec.spot)
             || spec.types.as_ref().is_some_and(|types| !types.iter().any(|t| t == machine_type))
             || spec.zone.as_ref().is_some_and(|only| only != zone)
-            || (spec.one_zone && others.iter().any(|place| place.zone != zone))
+            || (spec.one_zone && other_zones > 0)
             || (spec.spread && same_zone + 1 > spec.tasks.div_ceil(2));
         if wrong {
             self.broke("wrong_place", format!("{now:.2}: {task} on {machine} in {zone}"));
         }
+        let zones = self.zones.entry(task.job.clone()).or_default();
+        *zones.entry(zone.to_owned()).or_default() += 1;
         self.on
             .entry(task.clone())
             .or_default()
@@ -333,6 +335,16 @@
         }
     }
 
+    /// How many other tasks of a task's job are on machines of a zone, and of all others.
+    fn others_by_zone(&self, task: &TaskId, zone: &str) -> (u32, u32) {
+        let Some(zones) = self.zones.get(&task.job) else { return (0, 0) };
+        let own = self.on.get(task).map_or(&[][..], Vec::as_slice);
+        let own_here = own.iter().filter(|place| place.zone == zone).count() as u32;
+        let here = zones.get(zone).copied().unwrap_or(0);
+        let all: u32 = zones.values().sum();
+        (here - own_here, all - here - (own.len() as u32 - own_here))
+    }
+
     /// The tasks of a job that are on machines.
     fn tasks_of(&self, job: &JobId) -> impl Iterator<Item = (&TaskId, &Vec<Place>)> {
         let range =
@@ -354,6 +366,11 @@
     pub fn ended(&mut self, task: &TaskId, machine: &str, completed: bool) {
         if let Some(places) = self.on.get_mut(task) {
             let before = places.len();
+            if let Some(zones) = self.zones.get_mut(&task.job) {
+                for place in places.iter().filter(|place| place.machine == machine) {
+                    zones.entry(place.zone.clone()).and_modify(|count| *count -= 1);
+                }
+            }
             places.retain(|place| place.machine != machine);
             if let Some(spec) = self.specs.get(&task.job)
                 && let Some(uses) = self.uses.get_mut(&spec.team)
@@ -365,8 +382,8 @@
                 self.on.remove(task);
             }
         }
-        if completed {
-            self.completed.insert(task.clone());
+        if completed && self.completed.insert(task.clone()) {
+            *self.completed_of.entry(task.job.clone()).or_default() += 1;
         }
     }
 
@@ -408,10 +425,8 @@
 
     /// Whether all tasks of a job have completed.
     pub fn has_finished(&self, id: &JobId) -> bool {
-        let range =
-            TaskId { job: id.clone(), index: 0 }..=TaskId { job: id.clone(), index: u32::MAX };
         let tasks = self.specs.get(id).map_or(u32::MAX, |spec| spec.tasks) as usize;
-        self.completed.range(range).count() >= tasks
+        self.completed_of.get(id).copied().unwrap_or(0) >= tasks
     }
 
     /// Looks for jobs that wait although there is room: in calm none does so for long.
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -5,7 +5,7 @@
     job::{JobSpec, Kind},
     worker::{Cause, Command, Direct, Report, ReportAnswer, TaskReport, TaskState},
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A task on the worker.
 #[derive(Debug, Clone)]
@@ -91,6 +91,55 @@
     images: BTreeSet<String>,
 }
 
+/// The tasks on a worker as one message finds and changes them.
+struct Lookup {
+    /// Where each task is in the worker's list.
+    places: BTreeMap<TaskId, Vec<usize>>,
+    /// Places that are forgotten by the message, and no longer among those above.
+    forgotten: BTreeSet<usize>,
+    /// CPUs, GPUs and memory that no task has, if that is known.
+    free: Option<(f64, f64, f64)>,
+}
+
+impl Lookup {
+    fn of(tasks: &[Task]) -> Lookup {
+        let mut lookup = Lookup { places: BTreeMap::new(), forgotten: BTreeSet::new(), free: None };
+        for (at, task) in tasks.iter().enumerate() {
+            lookup.add(&task.task, at);
+        }
+        lookup
+    }
+
+    fn add(&mut self, task: &TaskId, at: usize) {
+        self.places.entry(task.clone()).or_default().push(at);
+    }
+
+    fn of_task(&self, task: &TaskId) -> &[usize] {
+        self.places.get(task).map_or(&[], Vec::as_slice)
+    }
+
+    fn of_attempt(&self, tasks: &[Task], task: &TaskId, attempt: u64) -> Vec<usize> {
+        let here = self.of_task(task).iter().copied();
+        here.filter(|at| tasks[*at].attempt == attempt).collect()
+    }
+
+    fn forget(&mut self, task: &TaskId, at: usize) {
+        if let Some(places) = self.places.get_mut(task) {
+            places.retain(|other| *other != at);
+        }
+        self.forgotten.insert(at);
+    }
+}
+
+/// What is left of free room once a task has its part.
+fn less((cpus, gpus, memory): (f64, f64, f64), spec: &JobSpec) -> (f64, f64, f64) {
+    (cpus - spec.cpus, gpus - spec.gpus, memory - spec.memory_gb)
+}
+
+fn fits(spec: &JobSpec, (cpus, gpus, memory): (f64, f64, f64)) -> bool {
+    spec.cpus <= cpus && spec.gpus <= gpus && spec.memory_gb <= memory
+}
+
 impl Worker {
     /// A worker that has just come up.
     #[allow(clippy::too_many_arguments, reason = "a machine's fixed properties, spelled out")]
@@ -176,7 +225,7 @@
             self.changed = true;
         }
         self.lease_from = self.lease_from.max(sent_at);
-        answer.commands.iter().flat_map(|command| self.command(now, command, find)).collect()
+        self.carry_out(now, &answer.commands, find)
     }
 
     /// Carries out direct commands; tells whether it did.
@@ -193,112 +242,134 @@
             self.token = direct.token;
             self.changed = true;
         }
-        let happened = direct.commands.iter().flat_map(|c| self.command(now, c, find)).collect();
-        (true, happened)
+        (true, self.carry_out(now, &direct.commands, find))
     }
 
-    fn command(
+    /// Carries out commands in order. The tasks are looked through once for all of them:
+    /// an answer about a gang may hold hundreds, on a machine with thousands of tasks.
+    fn carry_out(
         &mut self,
         now: f64,
-        command: &Command,
+        commands: &[Command],
         find: &dyn Fn(&TaskId) -> Option<JobSpec>,
     ) -> Vec<Happened> {
+        if commands.is_empty() {
+            return Vec::new();
+        }
+        let mut lookup = Lookup::of(&self.tasks);
         let mut happened = Vec::new();
-        match command {
-            Command::Start { task, attempt } => {
-                if self.tasks.iter().any(|t| t.task == *task && t.attempt == *attempt) {
-                    return happened;
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    self.start(now, task, *attempt, find, &mut lookup);
                 }
-                self.changed = true;
-                let here = |t: &&Task| t.task == *task && t.state != TaskState::Exited;
-                let refused = match find(task) {
-                    None => Some(Cause::Unknown),
-                    Some(_) if self.tasks.iter().any(|t| here(&t)) => Some(Cause::Busy),
-                    Some(spec) if !self.has_room(&spec) => Some(Cause::NoRoom),
-                    Some(spec) => {
-                        let cached = self.images.contains(&spec.image);
-                        let fetch = if cached { 0.0 } else { spec.image_gb };
-                        self.tasks.push(Task {
-                            task: task.clone(),
-                            attempt: *attempt,
-                            spec,
-                            state: TaskState::Fetching,
-                            until: now + fetch,
-                            cause: None,
-                            saved: None,
-                            told_at: None,
-                        });
-                        None
+                Command::Stop { task, attempt, grace_s } => {
+                    for at in lookup.of_attempt(&self.tasks, task, *attempt) {
+                        let ended = self.stop(now, at, *grace_s);
+                        lookup.free =
+                            lookup.free.filter(|_| self.tasks[at].state != TaskState::Exited);
+                        happened.extend(ended);
                     }
-                };
-                if let (Some(cause), Some(spec)) = (refused, find(task).or_else(|| self.any_spec()))
-                {
-                    self.tasks.push(Task {
-                        task: task.clone(),
-                        attempt: *attempt,
-                        spec,
-                        state: TaskState::Exited,
-                        until: f64::MAX,
-                        cause: Some(cause),
-                        saved: None,
-                        told_at: None,
-                    });
                 }
-            }
-            Command::Stop { task, attempt, grace_s } => {
-                for t in &mut self.tasks {
-                    if t.task != *task || t.attempt != *attempt || t.state == TaskState::Exited {
-                        continue;
-                    }
-                    self.changed = true;
-                    let saves = t.state == TaskState::Running
-                        && t.spec.checkpoint_s > 0.0
-                        && *grace_s >= t.spec.save_s;
-                    if saves && t.spec.kind == Kind::Gang {
-                        // It reports `running` until it exits; when it may depends on
-                        // the others.
-                        t.told_at = t.told_at.or(Some(now));
-                    } else if t.told_at.is_some() && *grace_s > 0.0 {
-                        // It is saving already.
-                    } else if saves {
-                        t.state = TaskState::Saving;
-                        t.until = now + t.spec.save_s;
-                    } else if t.state != TaskState::Saving || *grace_s == 0.0 {
-                        if t.state != TaskState::Fetching {
-                            happened.push(Happened::Ended(t.task.clone(), false));
+                Command::Forget { task, attempt } => {
+                    for at in lookup.of_attempt(&self.tasks, task, *attempt) {
+                        if self.tasks[at].state == TaskState::Exited {
+                            lookup.forget(task, at);
+                            self.changed = true;
                         }
-                        t.state = TaskState::Exited;
-                        t.cause = Some(Cause::Stopped);
-                        t.saved = Some(false);
                     }
                 }
             }
-            Command::Forget { task, attempt } => {
-                let before = self.tasks.len();
-                self.tasks.retain(|t| {
-                    t.task != *task || t.attempt != *attempt || t.state != TaskState::Exited
-                });
-                self.changed |= self.tasks.len() != before;
-            }
         }
+        let mut at = 0;
+        self.tasks.retain(|_| {
+            at += 1;
+            !lookup.forgotten.contains(&(at - 1))
+        });
         happened
     }
 
-    fn any_spec(&self) -> Option<JobSpec> {
-        self.tasks.first().map(|task| task.spec.clone())
+    fn start(
+        &mut self,
+        now: f64,
+        task: &TaskId,
+        attempt: u64,
+        find: &dyn Fn(&TaskId) -> Option<JobSpec>,
+        lookup: &mut Lookup,
+    ) {
+        let here = lookup.of_task(task);
+        if here.iter().any(|at| self.tasks[*at].attempt == attempt) {
+            return;
+        }
+        self.changed = true;
+        let busy = here.iter().any(|at| self.tasks[*at].state != TaskState::Exited);
+        let free = *lookup.free.get_or_insert_with(|| self.free());
+        let spec = find(task);
+        let refused = match &spec {
+            None => Some(Cause::Unknown),
+            Some(_) if busy => Some(Cause::Busy),
+            Some(spec) if !fits(spec, free) => Some(Cause::NoRoom),
+            Some(_) => None,
+        };
+        let Some(spec) = spec.or_else(|| self.any_spec(lookup)) else { return };
+        let (state, until) = if refused.is_some() {
+            (TaskState::Exited, f64::MAX)
+        } else {
+            lookup.free = Some(less(free, &spec));
+            let cached = self.images.contains(&spec.image);
+            (TaskState::Fetching, now + if cached { 0.0 } else { spec.image_gb })
+        };
+        lookup.add(task, self.tasks.len());
+        self.tasks.push(Task {
+            task: task.clone(),
+            attempt,
+            spec,
+            state,
+            until,
+            cause: refused,
+            saved: None,
+            told_at: None,
+        });
+    }
+
+    /// Tells a task to stop; returns that it has ended, if it has at once.
+    fn stop(&mut self, now: f64, at: usize, grace_s: f64) -> Option<Happened> {
+        let t = &mut self.tasks[at];
+        if t.state == TaskState::Exited {
+            return None;
+        }
+        self.changed = true;
+        let saves =
+            t.state == TaskState::Running && t.spec.checkpoint_s > 0.0 && grace_s >= t.spec.save_s;
+        if saves && t.spec.kind == Kind::Gang {
+            // It reports `running` until it exits; when it may depends on
+            // the others.
+            t.told_at = t.told_at.or(Some(now));
+        } else if t.told_at.is_some() && grace_s > 0.0 {
+            // It is saving already.
+        } else if saves {
+            t.state = TaskState::Saving;
+            t.until = now + t.spec.save_s;
+        } else if t.state != TaskState::Saving || grace_s == 0.0 {
+            let began = t.state != TaskState::Fetching;
+            t.state = TaskState::Exited;
+            t.cause = Some(Cause::Stopped);
+            t.saved = Some(false);
+            return began.then(|| Happened::Ended(t.task.clone(), false));
+        }
+        None
+    }
+
+    fn any_spec(&self, lookup: &Lookup) -> Option<JobSpec> {
+        let mut tasks = self.tasks.iter().enumerate();
+        let there = tasks.find(|(at, _)| !lookup.forgotten.contains(at));
+        there.map(|(_, task)| task.spec.clone())
     }
 
     /// CPUs, GPUs and memory that no task has.
     pub fn free(&self) -> (f64, f64, f64) {
         let there = self.tasks.iter().filter(|t| t.state != TaskState::Exited);
-        there.fold(self.room, |(cpus, gpus, memory), task| {
-            (cpus - task.spec.cpus, gpus - task.spec.gpus, memory - task.spec.memory_gb)
-        })
-    }
-
-    fn has_room(&self, spec: &JobSpec) -> bool {
-        let (cpus, gpus, memory) = self.free();
-        spec.cpus <= cpus && spec.gpus <= gpus && spec.memory_gb <= memory
+        there.fold(self.room, |free, task| less(free, &task.spec))
     }
 
     /// Hangs, or goes on. What hangs keeps its tasks on the machine, past the end of its
