--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -33,9 +33,6 @@
 /// A zone that is silent as a whole is given up so long before a cancellation that its
 /// silence may have begun with must have ended.
 const GIVE_UP_S: f64 = 8.0;
-/// An ordinary machine beyond need is idle for no longer than this: it costs a multiple of
-/// a spot one, and is rented for the peaks alone.
-const ORDINARY_IDLE_S: f64 = 4.0;
 /// A machine that boots longer than this many times the usual time does not come.
 const BOOT_MULTIPLE: f64 = 2.5;
 
@@ -790,7 +787,6 @@
     }
 
     fn return_idle(&mut self, now: f64, options: &Options, kind: u32, spot: bool, spare: usize) {
-        let idle_s = if spot { options.idle_s } else { options.idle_s.min(ORDINARY_IDLE_S) };
         let mut idle: Vec<(f64, u32)> = self
             .know
             .machines
@@ -802,7 +798,7 @@
                     && !m.standby
                     && m.heard_at.is_some()
                     && m.attempts.is_empty()
-                    && now - m.idle_since >= idle_s
+                    && now - m.idle_since >= options.idle_s
                     // A minute is charged in any case.
                     && now - m.born >= 55.0
             })
