Leader: ending a gang costs as much as what ends, not the square of its size

A task of a gang that was released made the leader ask all tasks of the gang whether it still waits, and tell all of them to stop; each exit and each finished task did so once more, and on a machine on its way out each task at each tick. A gang of n tasks so cost n² to end. Attempts now have a type of their own that keeps tallies by job and machine with every change: how many are uncommitted, begun, being stopped, unfinished, on which machines, and which images have not been run. The questions are answered from these; a stop goes through the tasks only when there is one to stop, and a gang's machines are gathered once for all tasks that end together. A withdrawal goes through each gang once instead of once a task. What is decided is unchanged.

--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -9,7 +9,7 @@
 //! more. What has counted for long is told again in a new segment, so that the log
 //! stays short; a slot with something in it that counts is never written over.
 
-use super::{Leader, Phase, StopWhy};
+use super::{Job, Leader, Phase, StopWhy};
 use crate::{
     keys,
     log::{self, Writer},
@@ -279,7 +279,7 @@
     /// Adds releases; tells whether all of them fit.
     fn draft_released(&self, draft: &mut Draft) -> bool {
         for id in &self.commits.released {
-            let Some(attempt) = self.attempts.get(id) else { continue };
+            let Some(attempt) = self.attempts.get(*id) else { continue };
             let Phase::Releasing(end) = attempt.phase else { continue };
             let job = self.job_names.name(attempt.job);
             let Some((writer, segment)) = draft.segment(log::row_bytes(job, "")) else {
@@ -312,7 +312,7 @@
     }
 
     fn draft_assigned(&self, draft: &mut Draft, id: u64) -> bool {
-        let Some(attempt) = self.attempts.get(&id) else { return true };
+        let Some(attempt) = self.attempts.get(id) else { return true };
         let job = self.job_names.name(attempt.job);
         let machine = self.know.machine_names.name(attempt.machine);
         let Some((writer, segment)) = draft.segment(log::row_bytes(job, machine)) else {
@@ -363,7 +363,7 @@
 
     /// Whether a segment is the newest one that assigns an attempt.
     fn assigns(&self, seq: u64, id: u64) -> bool {
-        self.attempts.get(&id).is_some_and(|attempt| attempt.logged == seq)
+        self.attempts.get(id).is_some_and(|attempt| attempt.logged == seq)
     }
 
     /// Whether what a segment tells of a chunk is told by no newer one.
@@ -473,7 +473,7 @@
             self.commits.finished.remove(ix);
             if let Some(job) = self.jobs.get_mut(ix) {
                 job.fate = Some(JobState::Done);
-                if job.live.is_empty() {
+                if self.attempts.of_job(*ix).is_empty() {
                     self.commits.cleared.insert(*ix);
                 }
                 tracing::info!(
@@ -499,9 +499,7 @@
         }
         for segment in sent.segments {
             for id in &segment.attempts {
-                if let Some(attempt) = self.attempts.get_mut(id) {
-                    attempt.logged = segment.seq;
-                }
+                self.attempts.update(*id, |attempt| attempt.logged = segment.seq);
             }
             for (ix, chunk) in &segment.whole {
                 if let Some(job) = self.jobs.get_mut(ix) {
@@ -513,44 +511,51 @@
         }
         for id in &sent.proposed {
             self.commits.proposed.remove(id);
-            if let Some(attempt) = self.attempts.get_mut(id) {
+            let live = self.attempts.update(*id, |attempt| {
                 attempt.phase = Phase::Live;
-                self.direct_wanted.insert(attempt.machine);
-                self.know.counts.starts += 1;
-                if let Some(job) = self.jobs.get_mut(&attempt.job) {
-                    job.uncommitted -= 1;
-                    if job.is_gang() && job.uncommitted == 0 {
-                        let live = job.live.iter().filter_map(|id| self.attempts.get(id));
-                        self.direct_wanted.extend(live.map(|attempt| attempt.machine));
-                    }
-                }
+                (attempt.job, attempt.machine)
+            });
+            let Some((job_ix, machine)) = live else { continue };
+            self.direct_wanted.insert(machine);
+            self.know.counts.starts += 1;
+            let gang = self.jobs.get(&job_ix).is_some_and(Job::is_gang);
+            if gang && self.attempts.of_job(job_ix).uncommitted() == 0 {
+                self.direct_wanted.extend(self.attempts.of_job(job_ix).machines());
             }
         }
         for id in sent.released {
             self.commits.released.remove(&id);
-            if let Some(Phase::Releasing(end)) = self.attempts.get(&id).map(|a| a.phase) {
+            if let Some(Phase::Releasing(end)) = self.attempts.get(id).map(|a| a.phase) {
                 self.free(id, end, now);
             }
         }
         self.reclaim();
     }
 
-    /// Drops a proposal that is in no transaction. A gang is placed whole or not at all:
-    /// what is committed of it is stopped, and the rest is withdrawn with this one.
-    pub(super) fn withdraw(&mut self, id: u64, now: f64) {
-        let Some(job_ix) = self.attempts.get(&id).map(|attempt| attempt.job) else { return };
-        let mut ids = vec![id];
-        if let Some(job) = self.jobs.get(&job_ix).filter(|job| job.is_gang()) {
-            ids.extend(job.live.iter().filter(|other| **other != id));
-            self.stop_gang(job_ix, StopWhy::Regroup);
-        }
-        let sent = self.commits.sent.as_ref().map(|sent| sent.proposed.clone()).unwrap_or_default();
+    /// Drops proposals that are in no transaction. A gang is placed whole or not at all:
+    /// what is committed of it is stopped, and the rest is withdrawn with them.
+    pub(super) fn withdraw(&mut self, ids: &[u64], now: f64) {
+        let mut gangs = BTreeSet::new();
         for id in ids {
-            let proposed = self.attempts.get(&id).is_some_and(|a| a.phase == Phase::Proposed);
-            if proposed && !sent.contains(&id) {
-                self.commits.proposed.remove(&id);
-                self.free(id, log::End::Again, now);
+            let Some(job_ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { continue };
+            if !self.jobs.get(&job_ix).is_some_and(Job::is_gang) {
+                self.withdraw_one(*id, now);
+            } else if gangs.insert(job_ix) {
+                self.stop_gang(job_ix, StopWhy::Regroup);
+                self.withdraw_one(*id, now);
+                for other in self.attempts.ids_of_job(job_ix) {
+                    self.withdraw_one(other, now);
+                }
             }
         }
     }
+
+    fn withdraw_one(&mut self, id: u64, now: f64) {
+        let proposed = self.attempts.get(id).is_some_and(|a| a.phase == Phase::Proposed);
+        let sent = self.commits.sent.as_ref().is_some_and(|sent| sent.proposed.contains(&id));
+        if proposed && !sent {
+            self.commits.proposed.remove(&id);
+            self.free(id, log::End::Again, now);
+        }
+    }
 }
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -54,6 +54,9 @@
 impl Leader {
     /// The next direct command, if one is due.
     pub fn next_direct(&mut self, now: f64, may_start: bool) -> Option<DirectCall> {
+        for job in std::mem::take(&mut self.direct_gangs) {
+            self.direct_wanted.extend(self.attempts.of_job(job).machines());
+        }
         while let Some(ix) = self.direct_wanted.pop_first() {
             if let Some(call) = self.direct_for(now, ix, may_start) {
                 return Some(call);
@@ -88,7 +91,7 @@
         let may_start = may_start && !self.fence && !machine.leaving() && machine.strikes == 0;
         let (mut commands, mut starts) = (Vec::new(), Vec::new());
         for id in &machine.attempts {
-            let Some(attempt) = self.attempts.get_mut(id) else { continue };
+            let Some(attempt) = self.attempts.get(*id) else { continue };
             if attempt.phase != Phase::Live || attempt.session != machine.newest.0 {
                 continue;
             }
@@ -104,7 +107,7 @@
                     _ => false,
                 };
                 if there && attempt.stop_sent == 0 {
-                    attempt.stop_sent = 1;
+                    self.attempts.update(*id, |attempt| attempt.stop_sent = 1);
                     let grace_s = job.grace(why);
                     commands.push(Command::Stop { task, attempt: number, grace_s });
                 }
@@ -112,9 +115,9 @@
                 && may_start
                 && !attempt.sent
                 && !job.over()
-                && !(job.is_gang() && job.uncommitted > 0)
+                && !(job.is_gang() && self.attempts.of_job(attempt.job).uncommitted() > 0)
             {
-                attempt.sent = true;
+                self.attempts.update(*id, |attempt| attempt.sent = true);
                 machine.open_starts.insert(*id, None);
                 starts.push(*id);
                 commands.push(Command::Start { task, attempt: number });
@@ -156,8 +159,8 @@
             // A stop may have got lost, and the report that would bring another one may
             // never come.
             for id in &machine.attempts {
-                if let Some(attempt) = self.attempts.get_mut(id).filter(|a| a.stop.is_some()) {
-                    attempt.stop_sent = 0;
+                if self.attempts.get(*id).is_some_and(|attempt| attempt.stop.is_some()) {
+                    self.attempts.update(*id, |attempt| attempt.stop_sent = 0);
                     self.unstopped.insert(call.machine);
                 }
             }
@@ -210,7 +213,7 @@
         // reports may still be under way.
         for reported in &report.tasks {
             let id = self.attempt_of(reported);
-            let known = self.attempts.get(&id).is_some_and(|attempt| {
+            let known = self.attempts.get(id).is_some_and(|attempt| {
                 attempt.machine == call.machine
                     && attempt.session == report.session
                     && attempt.index == reported.task.index
@@ -235,7 +238,7 @@
             for (id, since) in &machine.open_starts {
                 let Some(since) = since else { continue };
                 open = true;
-                let job = self.attempts.get(id).and_then(|attempt| self.jobs.get(&attempt.job));
+                let job = self.attempts.get(*id).and_then(|attempt| self.jobs.get(&attempt.job));
                 let wanted = job.is_some_and(|job| !job.cancelled());
                 // A machine that is being deleted settles it by going.
                 let settles = machine.delete_sent && now - since < 2.0 * LOOSE_S;
--- a/crates/gladekeel-controller/src/leader/fleet.rs
+++ b/crates/gladekeel-controller/src/leader/fleet.rs
@@ -384,7 +384,7 @@
                 spend.idle += cost;
             } else {
                 let (mut running, mut waiting) = (0.0, 0.0);
-                for attempt in machine.attempts.iter().filter_map(|id| self.attempts.get(id)) {
+                for attempt in machine.attempts.iter().filter_map(|id| self.attempts.get(*id)) {
                     let part = attempt.room.share_of(whole);
                     match attempt.seen {
                         Some(TaskState::Running) => running += part,
@@ -446,10 +446,11 @@
                 after => after + workers.cancel_s - DELETE_S,
             };
             if now >= until {
-                let attempts = job.live.iter().filter_map(|id| self.attempts.get(id));
+                let ids = self.attempts.of_job(*ix).ids();
+                let attempts = ids.iter().filter_map(|id| self.attempts.get(*id));
                 over.extend(attempts.filter(|a| a.phase == Phase::Live).map(|a| a.machine));
             }
-            !job.live.is_empty()
+            !self.attempts.of_job(*ix).is_empty()
         });
         for ix in over {
             let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
@@ -605,14 +606,14 @@
     fn needs(&self, now: f64) -> BTreeMap<u32, Vec<(bool, Need)>> {
         let mut needs: BTreeMap<u32, Vec<(bool, Need)>> = BTreeMap::new();
         let mut left: Vec<_> = self.teams.iter().map(|team| team.limit).collect();
-        for job in self.jobs.values().filter(|job| !job.over()) {
+        for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
             let Some((kind, fits)) = self.kind_for(job) else { continue };
             let allowed = job.room.times_in(
                 gladekeel_sched::Room { memory: i64::MAX / 4, ..left[job.team as usize] },
                 job.remaining(),
             );
             left[job.team as usize] -= job.room * i64::from(allowed);
-            let running = (job.live.len() as u32).min(allowed);
+            let running = (self.attempts.of_job(*ix).len() as u32).min(allowed);
             let pending = if now < job.hold_until { 0 } else { allowed - running };
             let run_s = self.expected_run(job);
             let need = Need {
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -4,6 +4,7 @@
 //! what has been committed of it, and workers' reports say what is. Every step
 //! follows the rules of `docs/safety.md`.
 
+mod attempts;
 mod commit;
 mod direct;
 mod fleet;
@@ -22,6 +23,7 @@
     sockets::Sockets,
     world::{Counts as Display, World},
 };
+use attempts::Attempts;
 use commit::Commits;
 pub use commit::LogRow;
 use fleet::Fleet;
@@ -70,6 +72,8 @@
     pub rounds: u64,
     /// How often a machine was looked at in placing.
     pub looked: u64,
+    /// How often an attempt was looked at.
+    pub attempt_lookups: u64,
     /// Commits made, and writes in them.
     pub commits: u64,
     /// Writes in them.
@@ -144,7 +148,7 @@
     know: Knowledge,
     jobs: BTreeMap<u32, Job>,
     job_names: Interner<JobId>,
-    attempts: BTreeMap<u64, Attempt>,
+    attempts: Attempts,
     teams: Vec<Team>,
     commits: Commits,
     next_attempt: u64,
@@ -168,6 +172,8 @@
     fence: bool,
     /// Machines for which there may be direct commands.
     direct_wanted: BTreeSet<u32>,
+    /// Gangs on all of whose machines there may be direct commands.
+    direct_gangs: BTreeSet<u32>,
     /// Machines that are to be asked whether they are there.
     probes_wanted: BTreeSet<u32>,
     /// How many are being asked, and may be.
@@ -220,7 +226,7 @@
             know: know.unwrap_or_default(),
             jobs: BTreeMap::new(),
             job_names: Interner::default(),
-            attempts: BTreeMap::new(),
+            attempts: Attempts::default(),
             teams,
             commits: Commits::new(&params, world),
             next_attempt: token * ATTEMPTS_PER_TOKEN,
@@ -238,6 +244,7 @@
             salt,
             fence: false,
             direct_wanted: BTreeSet::new(),
+            direct_gangs: BTreeSet::new(),
             probes_wanted: BTreeSet::new(),
             probing: 0,
             max_probes: Sockets::of(&params.limits).calls / 2,
@@ -321,7 +328,7 @@
         job.called_off = false;
         if job.fate.is_some() {
             self.commits.finished.remove(&ix);
-            if job.live.is_empty() {
+            if self.attempts.of_job(ix).is_empty() {
                 self.commits.cleared.insert(ix);
             }
         }
@@ -343,7 +350,7 @@
     /// Takes in that the store no longer has a job.
     pub fn forget_job(&mut self, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
-        if self.jobs.get(&ix).is_some_and(|job| job.live.is_empty()) {
+        if self.attempts.of_job(ix).is_empty() {
             self.jobs.remove(&ix);
         }
     }
@@ -354,14 +361,16 @@
     }
 
     fn stop_job(&mut self, ix: u32) {
-        let Some(job) = self.jobs.get(&ix) else { return };
+        if !self.jobs.contains_key(&ix) {
+            return;
+        }
         self.ending.insert(ix);
-        for id in &job.live {
-            if let Some(attempt) = self.attempts.get_mut(id) {
+        self.direct_wanted.extend(self.attempts.of_job(ix).machines());
+        for id in self.attempts.ids_of_job(ix) {
+            self.attempts.update(id, |attempt| {
                 attempt.stop = Some(StopWhy::Cancelled);
                 attempt.stop_sent = 0;
-                self.direct_wanted.insert(attempt.machine);
-            }
+            });
         }
     }
 
@@ -418,28 +427,30 @@
                 (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
             }
             let there = assigned.get(ix);
+            let none_on_machines = self.attempts.of_job(*ix).is_empty();
             job.pending
                 .retain(|at| !job.done.has(*at) && !there.is_some_and(|set| set.contains(at)));
             if job.done.count() == job.spec.tasks && job.fate.is_none() {
                 self.commits.finished.insert(*ix);
             }
-            if job.fate.is_some() && !job.live.is_empty() {
+            if job.fate.is_some() && !none_on_machines {
                 self.commits.cleared.remove(ix);
             }
-            if job.is_gang() && !job.over() && !job.live.is_empty() && !job.pending.is_empty() {
+            if job.is_gang() && !job.over() && !none_on_machines && !job.pending.is_empty() {
                 // Part of it was committed when its leader ended, or a task of it is gone
                 // already. It begins anew as a whole.
                 broken.push(*ix);
             }
-            for id in &job.live {
-                let Some(attempt) = self.attempts.get_mut(id) else { continue };
-                if job.done.has(attempt.index) && !job.is_gang() {
-                    // Its finish was stored upon a report of its exit: that is the proof.
-                    ended.push(*id);
-                } else if job.cancelled() {
-                    attempt.stop = Some(StopWhy::Cancelled);
-                    self.ending.insert(*ix);
-                }
+            for id in self.attempts.ids_of_job(*ix) {
+                self.attempts.update(id, |attempt| {
+                    if job.done.has(attempt.index) && !job.is_gang() {
+                        // Its finish was stored upon a report of its exit: that is the proof.
+                        ended.push(id);
+                    } else if job.cancelled() {
+                        attempt.stop = Some(StopWhy::Cancelled);
+                        self.ending.insert(*ix);
+                    }
+                });
             }
         }
         for id in ended {
@@ -462,7 +473,6 @@
         machine.attempts.insert(id);
         machine.used += job.room;
         machine.used_image(job.image, job.spec.image_gb, f64::INFINITY);
-        job.live.insert(id);
         job.count_zone(machine.zone, 1);
         self.teams[job.team as usize].used += job.room;
         self.attempts.insert(
@@ -489,17 +499,21 @@
 
     /// Marks an attempt as off its machine. It keeps its room until that is committed.
     fn release(&mut self, id: u64, outcome: Outcome) {
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        if attempt.phase != Phase::Live {
-            return;
-        }
-        attempt.phase = Phase::Releasing(outcome);
+        let released = self.attempts.update(id, |attempt| {
+            let live = attempt.phase == Phase::Live;
+            if live {
+                attempt.phase = Phase::Releasing(outcome);
+            }
+            live.then_some((attempt.job, attempt.index))
+        });
+        let Some((job_ix, index)) = released.flatten() else { return };
         self.commits.released.insert(id);
-        let (job_ix, index) = (attempt.job, attempt.index);
         let Some(job) = self.jobs.get_mut(&job_ix) else { return };
         if job.is_gang() && outcome == Outcome::Done {
             // The tasks of a gang complete together: one that is done tells of all.
-            (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
+            if job.done.count() < job.spec.tasks {
+                (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
+            }
             self.untold.insert(job_ix);
             if job.fate.is_none() {
                 self.commits.finished.insert(job_ix);
@@ -523,18 +537,18 @@
     /// can be replaced under the same number while the others wait. Of what an earlier
     /// leader placed it is not known whether it has run.
     fn still_waits(&self, job_ix: u32) -> bool {
-        let Some(job) = self.jobs.get(&job_ix) else { return false };
-        job.live.iter().filter_map(|id| self.attempts.get(id)).all(|attempt| {
-            attempt.run_since.is_none() && attempt.stop.is_none() && !attempt.restored
-        })
+        self.jobs.contains_key(&job_ix) && self.attempts.of_job(job_ix).none_begun()
     }
 
     /// Gangs that lack a task and find no place for it begin anew, rather than hold
     /// machines until they give up by themselves.
     fn end_incomplete(&mut self, now: f64) {
-        let gangs = self.jobs.iter().filter(|(_, job)| {
+        let gangs = self.jobs.iter().filter(|(ix, job)| {
             let waits_s = job.waits_since.map_or(0.0, |since| now - since);
-            job.is_gang() && !job.live.is_empty() && !job.pending.is_empty() && waits_s > REPLACE_S
+            job.is_gang()
+                && !self.attempts.of_job(**ix).is_empty()
+                && !job.pending.is_empty()
+                && waits_s > REPLACE_S
         });
         for ix in gangs.map(|(ix, _)| *ix).collect::<Vec<_>>() {
             self.stop_gang(ix, StopWhy::Regroup);
@@ -544,18 +558,23 @@
     /// Stops all tasks of a gang that are not being stopped yet: one decision for all,
     /// sent to all at once.
     fn stop_gang(&mut self, job_ix: u32, why: StopWhy) {
-        let Some(job) = self.jobs.get(&job_ix) else { return };
-        for id in &job.live {
-            if let Some(attempt) = self.attempts.get_mut(id) {
-                attempt.stop.get_or_insert(why);
-                self.direct_wanted.insert(attempt.machine);
-            }
+        if !self.jobs.contains_key(&job_ix) {
+            return;
+        }
+        // Each task that ends asks for this: only the first time there is something to
+        // stop, and the machines are gathered when the next command is sent.
+        self.direct_gangs.insert(job_ix);
+        if self.attempts.of_job(job_ix).all_stopping() {
+            return;
+        }
+        for id in self.attempts.ids_of_job(job_ix) {
+            self.attempts.update(id, |attempt| _ = attempt.stop.get_or_insert(why));
         }
     }
 
     /// The room of an attempt is free: its release is committed, or it never was.
     fn free(&mut self, id: u64, outcome: Outcome, now: f64) {
-        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let Some(attempt) = self.attempts.remove(id) else { return };
         if let Some(machine) = self.know.machines.get_mut(&attempt.machine) {
             machine.attempts.remove(&id);
             machine.used -= attempt.room;
@@ -565,13 +584,11 @@
         }
         if let Some(job) = self.jobs.get_mut(&attempt.job) {
             self.teams[job.team as usize].used -= attempt.room;
-            job.uncommitted -= u32::from(attempt.phase == Phase::Proposed);
-            job.live.remove(&id);
             job.count_zone(attempt.zone, -1);
             if outcome != Outcome::Done {
                 job.give_back(attempt.index, outcome == Outcome::Restart, now);
             }
-            if job.fate.is_some() && job.live.is_empty() {
+            if job.fate.is_some() && self.attempts.of_job(attempt.job).is_empty() {
                 self.commits.cleared.insert(attempt.job);
             }
             self.untold.insert(attempt.job);
@@ -587,30 +604,32 @@
         }
         machine.zone = Some(zone);
         for id in &machine.attempts {
-            let Some(attempt) = self.attempts.get_mut(id) else { continue };
-            if let Some(job) = self.jobs.get_mut(&attempt.job) {
-                job.count_zone(attempt.zone, -1);
-                job.count_zone(Some(zone), 1);
-            }
-            attempt.zone = Some(zone);
+            self.attempts.update(*id, |attempt| {
+                if let Some(job) = self.jobs.get_mut(&attempt.job) {
+                    job.count_zone(attempt.zone, -1);
+                    job.count_zone(Some(zone), 1);
+                }
+                attempt.zone = Some(zone);
+            });
         }
     }
 
     /// The jobs whose counts have changed since this was last asked.
     pub fn take_counts(&mut self) -> Vec<(JobId, Display)> {
         let told = std::mem::take(&mut self.untold);
-        let jobs = told.iter().filter_map(|ix| self.jobs.get(ix)).filter(|job| !job.over());
-        jobs.map(|job| {
-            let counts = Display { done: job.done.count(), running: job.live.len() as u32 };
-            (job.id.clone(), counts)
-        })
-        .collect()
+        let jobs = told.iter().filter_map(|ix| Some((*ix, self.jobs.get(ix)?)));
+        jobs.filter(|(_, job)| !job.over())
+            .map(|(ix, job)| {
+                let running = self.attempts.of_job(ix).len() as u32;
+                (job.id.clone(), Display { done: job.done.count(), running })
+            })
+            .collect()
     }
 
     /// The number under which a worker knows an attempt. The tasks of a gang share
     /// one: that is how they find one another.
     fn number(&self, id: u64) -> u64 {
-        let attempt = &self.attempts[&id];
+        let Some(attempt) = self.attempts.get(id) else { return id };
         let gang = self.jobs.get(&attempt.job).is_some_and(Job::is_gang);
         if gang { id - u64::from(attempt.index) } else { id }
     }
@@ -664,6 +683,7 @@
             self.lagged_at = now;
         }
         self.ticked_at = now;
+        self.know.counts.attempt_lookups += self.attempts.take_lookups();
         self.watch_machines(now);
         self.fence |= self.loose_start(now);
         // What looks at every machine is done once a round at the most. Dead machines are
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -170,13 +170,9 @@
     pub pending: VecDeque<u32>,
     /// How many of the first pending tasks are restarts.
     pub restarts: u32,
-    /// Attempts, releasing ones included.
-    pub live: BTreeSet<u64>,
-    /// How many of them are not committed yet.
-    pub uncommitted: u32,
     /// The number that the tasks of a gang share, as long as any of them is on a machine.
     pub number: u64,
-    /// How many of them there are in each zone.
+    /// How many of its tasks there are in each zone.
     pub by_zone: Vec<u32>,
     /// How many are on machines whose zone is not known.
     pub zone_unknown: u32,
@@ -224,8 +220,6 @@
             done: Bits::default(),
             restarted: Bits::default(),
             restarts: 0,
-            live: BTreeSet::new(),
-            uncommitted: 0,
             number: 0,
             by_zone: Vec::new(),
             zone_unknown: 0,
@@ -518,15 +512,6 @@
         self.vouched && self.strikes == 0
     }
 
-    /// Whether one of its tasks waits for an image, as far as known.
-    pub(super) fn fetches(&self, attempts: &BTreeMap<u64, Attempt>) -> bool {
-        self.attempts.iter().filter_map(|id| attempts.get(id)).any(|attempt| {
-            attempt.run_since.is_none()
-                && attempt.seen != Some(TaskState::Exited)
-                && !self.ready.contains(&attempt.image)
-        })
-    }
-
     /// Its state in a word.
     pub fn state(&self) -> &'static str {
         match self {
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -6,7 +6,7 @@
 };
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
 use gladekeel_wire::{TaskId, job::Kind};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Commands in one answer; a line must stay below 64 KiB.
 const MAX_COMMANDS: usize = 400;
@@ -65,7 +65,7 @@
             self.know.leaving.insert(ix);
         }
         for id in machine.attempts.clone() {
-            if self.attempts.get(&id).is_some_and(|attempt| attempt.session < report.session) {
+            if self.attempts.get(id).is_some_and(|attempt| attempt.session < report.session) {
                 // A newer session: the worker has killed and forgotten everything before it.
                 self.release(id, Outcome::Again);
             }
@@ -99,7 +99,7 @@
         self.judge_hearing(ix, settled, &reported);
         let here = self.know.machines.get(&ix).map(|m| m.attempts.clone()).unwrap_or_default();
         for id in here {
-            let Some(attempt) = self.attempts.get(&id) else { continue };
+            let Some(attempt) = self.attempts.get(id) else { continue };
             if attempt.session != report.session {
                 // Of an earlier session, and released; or the report was held back since
                 // before the session in which it was placed.
@@ -150,7 +150,7 @@
     fn judge_hearing(&mut self, ix: u32, settled: bool, reported: &BTreeMap<u64, &TaskReport>) {
         let Some(machine) = self.know.machines.get_mut(&ix) else { return };
         let awaited = std::mem::take(&mut machine.awaited);
-        let numbers: Vec<u64> = reported.values().map(|task| task.attempt).collect();
+        let numbers: BTreeSet<u64> = reported.values().map(|task| task.attempt).collect();
         let came = awaited.starts.iter().any(|start| numbers.contains(start))
             || awaited.forgets.iter().any(|forget| !numbers.contains(forget))
             || (awaited.token && settled);
@@ -170,7 +170,7 @@
         may_start: bool,
         commands: &mut Vec<Command>,
     ) {
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let Some(attempt) = self.attempts.get(id) else { return };
         if attempt.phase != Phase::Live {
             return;
         }
@@ -179,7 +179,8 @@
         let job = self.jobs.get(&attempt.job);
         let over = job.is_none_or(Job::over);
         // A gang whose commit takes several transactions is sent out once all are made.
-        let uncommitted = job.is_some_and(|job| job.is_gang() && job.uncommitted > 0);
+        let uncommitted =
+            job.is_some_and(Job::is_gang) && self.attempts.of_job(attempt.job).uncommitted() > 0;
         let Some(reported) = reported else {
             let starting = may_start
                 && !self.fence
@@ -201,8 +202,8 @@
         if self.on_reported(now, id, reported) {
             return;
         }
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        let Some(why) = attempt.stop else { return };
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let (Some(why), job) = (attempt.stop, attempt.job) else { return };
         let waits = match reported.state {
             TaskState::Saving => why != StopWhy::Cancelled,
             TaskState::Fetching => why == StopWhy::Incomplete,
@@ -211,19 +212,21 @@
         if waits {
             return;
         }
-        attempt.stop_sent += 1;
-        let grace_s = self.jobs[&attempt.job].grace(why);
+        self.attempts.update(id, |attempt| attempt.stop_sent += 1);
+        let grace_s = self.jobs[&job].grace(why);
         commands.push(Command::Stop { task, attempt: self.number(id), grace_s });
     }
 
     /// Takes in a task's state; tells whether the task has ended.
     pub(super) fn on_reported(&mut self, now: f64, id: u64, reported: &TaskReport) -> bool {
-        let Some(attempt) = self.attempts.get_mut(&id) else { return true };
-        if attempt.phase != Phase::Live {
-            return true;
-        }
-        attempt.seen = Some(reported.state);
-        let (job_ix, stop) = (attempt.job, attempt.stop);
+        let live = self.attempts.update(id, |attempt| {
+            let live = attempt.phase == Phase::Live;
+            if live {
+                attempt.seen = Some(reported.state);
+            }
+            live.then_some((attempt.job, attempt.stop))
+        });
+        let Some((job_ix, stop)) = live.flatten() else { return true };
         if reported.state == TaskState::Saving
             && stop.is_none()
             && self.jobs.get(&job_ix).is_some_and(Job::is_gang)
@@ -232,18 +235,17 @@
             // all hear of it in time.
             self.stop_gang(job_ix, StopWhy::Drained);
         }
-        let Some(attempt) = self.attempts.get_mut(&id) else { return true };
+        let Some(attempt) = self.attempts.get(id) else { return true };
         let has_image =
             matches!(reported.state, TaskState::Waiting | TaskState::Running | TaskState::Saving);
         if has_image {
+            let image = attempt.image;
+            let machine = self.know.machines.get_mut(&attempt.machine);
             if reported.state != TaskState::Waiting && attempt.run_since.is_none() {
                 tracing::debug!(task = %reported.task, "runs");
-                attempt.run_since = Some(now);
+                self.attempts.update(id, |attempt| attempt.run_since = Some(now));
             }
-            let image = self.jobs.get(&attempt.job).map(|job| job.image);
-            if let (Some(image), Some(machine)) =
-                (image, self.know.machines.get_mut(&attempt.machine))
-            {
+            if let Some(machine) = machine {
                 machine.ready.insert(image);
             }
         }
@@ -265,7 +267,7 @@
         commands: &mut Vec<Command>,
     ) {
         // A task of a gang may have been placed anew under its number, elsewhere.
-        if self.attempts.get(&attempt).is_some_and(|a| a.machine == machine) || !settled {
+        if self.attempts.get(attempt).is_some_and(|a| a.machine == machine) || !settled {
             return;
         }
         let (task_id, number) = (task.task.clone(), task.attempt);
@@ -279,7 +281,7 @@
     }
 
     fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
-        let attempt = &self.attempts[&id];
+        let Some(attempt) = self.attempts.get(id) else { return };
         let (job_ix, machine_ix, stop) = (attempt.job, attempt.machine, attempt.stop);
         // Of a task that an earlier leader placed only the end was seen; its run
         // would look short, and others of its job slow.
@@ -326,15 +328,8 @@
                 job.failed_on.insert(machine_ix);
                 // A large job has tasks on faulty machines as well; what fails by itself
                 // fails more often than it runs.
-                let runs = |id: &&u64| {
-                    let other = self.attempts.get(id);
-                    other.is_some_and(|a| {
-                        a.phase == Phase::Live && a.seen != Some(TaskState::Exited)
-                    })
-                };
-                let failed = job.failures as usize;
-                let others = job.live.iter().filter(runs).take(failed + 1).count();
-                let faulty_job = job.failed_on.len() >= 2 && failed > others;
+                let others = self.attempts.of_job(job_ix).unfinished();
+                let faulty_job = job.failed_on.len() >= 2 && job.failures > others;
                 if faulty_job {
                     // It fails wherever it goes, so the machines are not to blame.
                     job.hold_until = now + f64::from(1 << job.failures.min(6)).min(60.0);
@@ -381,7 +376,7 @@
 fn may_start_ever(leader: &Leader, id: u64) -> bool {
     leader
         .attempts
-        .get(&id)
+        .get(id)
         .and_then(|a| leader.know.machines.get(&a.machine))
         .is_some_and(|m| !m.leaving())
 }
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -51,7 +51,7 @@
             let gang = picture.round.jobs[placement.job].gang.then(|| {
                 *gangs.entry(job).or_insert_with(|| {
                     let gang = &self.jobs[&job];
-                    if !gang.live.is_empty() {
+                    if !self.attempts.of_job(job).is_empty() {
                         // A task that is gone is replaced; the others wait for it.
                         return gang.number;
                     }
@@ -79,9 +79,11 @@
         let zones = self.zones.keys().copied();
         let quiet: BTreeSet<u32> = zones.filter(|zone| self.is_quiet(*zone, now)).collect();
         // What is kept for gangs is given up before anybody has waited too long for it.
-        let starved = self.jobs.values().any(|job| {
-            let waits =
-                !job.over() && !job.is_gang() && job.live.is_empty() && now >= job.hold_until;
+        let starved = self.jobs.iter().any(|(ix, job)| {
+            let waits = !job.over()
+                && !job.is_gang()
+                && self.attempts.of_job(*ix).is_empty()
+                && now >= job.hold_until;
             waits && job.waits_since.is_some_and(|since| now - since > STARVED_S)
         });
         for (ix, machine) in &self.know.machines {
@@ -109,7 +111,11 @@
                 spot: machine.spot,
                 images: machine.images.iter().map(|(image, _)| *image).collect(),
                 ready: machine.ready.iter().copied().collect(),
-                fetching: machine.fetches(&self.attempts),
+                // Whether one of its tasks waits for an image, as far as known.
+                fetching: self
+                    .attempts
+                    .images_not_run(*ix)
+                    .any(|image| !machine.ready.contains(&image)),
                 open,
                 standby: machine.standby && !starved,
             });
@@ -122,7 +128,8 @@
             let array = job.spec.kind == Kind::Array;
             // A gang that waits has nothing on any machine; of an array that is so as
             // long as its share rounds down to nothing or room comes in small pieces.
-            let idle = (!array || job.live.is_empty()) && job.spec.kind != Kind::Service;
+            let nowhere = self.attempts.of_job(*ix).is_empty();
+            let idle = (!array || nowhere) && job.spec.kind != Kind::Service;
             let waited = job.waits_since.filter(|_| idle).map_or(0.0, |since| now - since);
             picture.jobs.push(*ix);
             picture.round.jobs.push(place::Job {
@@ -140,7 +147,7 @@
                 spot: job.spec.spot,
                 by_zone: job.by_zone.clone(),
                 gang: job.is_gang(),
-                completes: !job.live.is_empty() && self.still_waits(*ix),
+                completes: !nowhere && self.still_waits(*ix),
                 // A gang looks for the image before all else, in any case.
                 hurried: !job.is_gang() && job.hurried(&self.params, self.fetch_s(job), now),
                 overdue: (waited - PATIENCE_S).max(0.0).ceil() as u32,
@@ -160,8 +167,6 @@
         let Some(index) = job.next_pending() else { return };
         let id = gang.map_or(self.next_attempt, |first| first + u64::from(index));
         self.next_attempt += u64::from(gang.is_none());
-        job.live.insert(id);
-        job.uncommitted += 1;
         job.number = gang.unwrap_or(id);
         job.count_zone(machine.zone, 1);
         if job.pending.is_empty() {
@@ -212,7 +217,7 @@
         let mut runs = Vec::new();
         let mut medians: HashMap<u32, Option<f64>> = HashMap::new();
         for id in machines.iter().flat_map(|ix| &self.know.machines[ix].attempts) {
-            let Some(attempt) = self.attempts.get(id) else { continue };
+            let Some(attempt) = self.attempts.get(*id) else { continue };
             let (Some(since), Phase::Live) = (attempt.run_since, attempt.phase) else { continue };
             let Some(job) = self.jobs.get(&attempt.job) else { continue };
             let median = *medians.entry(attempt.job).or_insert_with(|| job.median());
@@ -228,8 +233,9 @@
             });
         }
         for slow in restart::slow(&runs, options.restart_multiple) {
-            if let Some(attempt) = self.attempts.get_mut(&ids[slow]) {
-                attempt.stop = Some(StopWhy::Slow);
+            let id = ids[slow];
+            self.attempts.update(id, |attempt| attempt.stop = Some(StopWhy::Slow));
+            if let Some(attempt) = self.attempts.get(id) {
                 self.direct_wanted.insert(attempt.machine);
                 let (job, machine) = (
                     self.job_names.name(attempt.job),
@@ -271,7 +277,8 @@
         let index: HashMap<u32, usize> =
             picture.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
         let (mut victims, mut whole) = (Vec::new(), BTreeMap::new());
-        for (id, attempt) in &self.attempts {
+        let mut heard = BTreeMap::new();
+        for (id, attempt) in self.attempts.iter() {
             let Some(at) = index.get(&attempt.machine) else { continue };
             let job = &self.jobs[&attempt.job];
             if attempt.stop.is_some() || matches!(attempt.phase, Phase::Releasing(_)) {
@@ -284,7 +291,7 @@
                 let ran = attempt.run_since.map_or(0.0, |since| now - since);
                 let saved = job.spec.checkpoint_s;
                 let victim = Victim {
-                    id: *id,
+                    id,
                     machine: *at,
                     team: job.team,
                     priority: job.spec.priority as u8,
@@ -295,7 +302,7 @@
                 };
                 if !job.is_gang() {
                     victims.push(victim);
-                } else if job.pending.is_empty() && self.all_heard(job, now) {
+                } else if job.pending.is_empty() && self.all_heard(attempt.job, now, &mut heard) {
                     // One task of a gang cannot be stopped without all.
                     let loss = victim.loss * f64::from(job.spec.tasks);
                     whole
@@ -347,7 +354,7 @@
             if let Some(at) = claimant
                 && let Some(id) = whole.stop_for(&mut picture.round, at, 1, false).first()
             {
-                let ix = self.attempts[id].job;
+                let Some(ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { return };
                 self.know.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
                 if let Some(job) = self.jobs.get_mut(&ix) {
                     (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
@@ -357,8 +364,8 @@
             }
         }
         for id in stopped {
-            if let Some(attempt) = self.attempts.get_mut(&id) {
-                attempt.stop = Some(StopWhy::Preempted);
+            self.attempts.update(id, |attempt| attempt.stop = Some(StopWhy::Preempted));
+            if let Some(attempt) = self.attempts.get(id) {
                 self.direct_wanted.insert(attempt.machine);
                 self.know.counts.preemptions += 1;
                 if let Some(job) = self.jobs.get_mut(&attempt.job) {
@@ -375,6 +382,7 @@
         let (mut release, mut withdraw, mut stop) = (Vec::new(), Vec::new(), Vec::new());
         self.know.leaving.retain(|ix| self.know.machines.get(ix).is_some_and(|m| m.leaving()));
         let mut taken = Vec::new();
+        let mut heard = BTreeMap::new();
         for ix in &self.know.leaving {
             let Some(machine) = self.know.machines.get(ix) else { continue };
             // The cloud takes it: what is left on it is lost, and to know that for
@@ -384,10 +392,12 @@
                 taken.push(*ix);
             }
             for id in &machine.attempts {
-                match self.attempts.get(id) {
+                match self.attempts.get(*id) {
                     Some(attempt) if attempt.phase == Phase::Proposed => withdraw.push(*id),
                     Some(_) if machine.gone => release.push(*id),
-                    Some(attempt) if attempt.stop.is_none() && self.must_leave(now, attempt) => {
+                    Some(attempt)
+                        if attempt.stop.is_none() && self.must_leave(now, attempt, &mut heard) =>
+                    {
                         stop.push(*id);
                     }
                     _ => {}
@@ -405,17 +415,18 @@
             }
         }
         for id in stop {
-            let job = self.attempts.get(&id).map(|attempt| attempt.job);
+            let job = self.attempts.get(id).map(|attempt| attempt.job);
             if let Some(job) = job.filter(|job| self.jobs.get(job).is_some_and(Job::is_gang)) {
                 self.stop_gang(job, StopWhy::Drained);
-            } else if let Some(attempt) = self.attempts.get_mut(&id) {
-                attempt.stop = Some(StopWhy::Drained);
-                self.direct_wanted.insert(attempt.machine);
+            } else {
+                let machine = self.attempts.update(id, |attempt| {
+                    attempt.stop = Some(StopWhy::Drained);
+                    attempt.machine
+                });
+                self.direct_wanted.extend(machine);
             }
         }
-        for id in withdraw {
-            self.withdraw(id, now);
-        }
+        self.withdraw(&withdraw, now);
         for id in release {
             self.release(id, Outcome::Again);
         }
@@ -424,7 +435,7 @@
     /// Whether a task on a machine that is on its way out should be stopped: while it
     /// still can save, or since it will not complete before the machine is taken and
     /// is better begun anew at once.
-    fn must_leave(&self, now: f64, attempt: &Attempt) -> bool {
+    fn must_leave(&self, now: f64, attempt: &Attempt, heard: &mut BTreeMap<u32, bool>) -> bool {
         let (Some(machine), Some(job)) =
             (self.know.machines.get(&attempt.machine), self.jobs.get(&attempt.job))
         else {
@@ -434,7 +445,7 @@
             return machine.drained
                 && job.spec.checkpoint_s > 0.0
                 && attempt.seen.is_some()
-                && (!job.is_gang() || self.all_heard(job, now));
+                && (!job.is_gang() || self.all_heard(attempt.job, now, heard));
         };
         let run_s = job.median().unwrap_or_else(|| self.expected_run(job));
         let ran = attempt.run_since.map_or(0.0, |since| now - since);
@@ -444,15 +455,18 @@
         }
         // A gang with too little time to save would fall back to its last checkpoint by
         // being stopped as by losing the machine; running on it may reach another one.
-        too_long && left_s > job.grace(StopWhy::Drained) && self.all_heard(job, now)
+        too_long && left_s > job.grace(StopWhy::Drained) && self.all_heard(attempt.job, now, heard)
     }
 
     /// Whether all machines of a gang are heard, so that a stop reaches all its tasks.
-    fn all_heard(&self, job: &Job, now: f64) -> bool {
+    /// `heard` keeps the answers that were worked out at the same time already.
+    fn all_heard(&self, job_ix: u32, now: f64, heard: &mut BTreeMap<u32, bool>) -> bool {
         let late_s = self.params.workers.late_s();
-        job.live.iter().filter_map(|id| self.attempts.get(id)).all(|attempt| {
-            let machine = self.know.machines.get(&attempt.machine);
-            machine.is_some_and(|m| now - m.quiet_since < late_s && m.strikes == 0)
+        *heard.entry(job_ix).or_insert_with(|| {
+            self.attempts.of_job(job_ix).machines().all(|ix| {
+                let machine = self.know.machines.get(&ix);
+                machine.is_some_and(|m| now - m.quiet_since < late_s && m.strikes == 0)
+            })
         })
     }
 }
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -765,6 +765,10 @@
         ["looked", rest @ ..] => {
             compare("looked", sim.leader_counts().map_or(0, |c| c.looked) as f64, rest)
         }
+        ["attempt_lookups", rest @ ..] => {
+            let lookups = sim.leader_counts().map_or(0, |c| c.attempt_lookups);
+            compare("attempt_lookups", lookups as f64, rest)
+        }
         ["segments", rest @ ..] => compare("segments", sim.log_segments() as f64, rest),
         [name, "began", rest @ ..] => {
             compare("began", sim.rules.began(&id(name)?).unwrap_or(f64::MAX), rest)
