Metrics of rounds and sockets; administration names field and range; typed changes

Metrics, in a module of their own: round_seconds (summary with sum and count, and round_seconds_max), measured around the tick that made a round, since the core reads no clock; sockets by use (users, workers, unknown, calls, mesh) and sockets_limit.

Administration, found when tried as a new user would: a value that is no number ("1.5", null) was refused without the field and its range; a misspelt field of the request was passed over and an empty change was written; a drain of a machine that does not exist was accepted, and stays accepted by nodes that do not lead, since they know no machines. The answer to a PUT now has the new version. Changes by operators are logged, one line each.

--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -1,20 +1,45 @@
-//! The administration API: settings, status, draining; and metrics.
+//! The administration API: settings, status, draining.
 //!
 //! It has no authentication of its own and must be kept inside the operators' network.
 
 use crate::{
     api::Reply,
     keys,
+    leader::Leader,
     node::{Node, RequestId, Then},
     world::Counts,
 };
 use gladekeel_store::Outcome;
 use gladekeel_wire::{
-    admin::{Machines, NodeStatus, Status, TeamStatus, VersionedSettings},
+    admin::{
+        DrainStatus, Machines, NodeStatus, SettingsChange, Status, TeamStatus, VersionedSettings,
+    },
     state::{Guard, Txn, Write},
 };
-use hdrhistogram::Histogram;
-use std::{collections::BTreeMap, fmt::Write as _};
+use std::collections::BTreeMap;
+
+/// Longest accepted name of a machine.
+const MAX_MACHINE_NAME: usize = 100;
+
+/// Why a path under `/admin` leads nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NoRoute {
+    /// There is nothing there.
+    #[error("no such path")]
+    Path,
+    /// It is there, for another method.
+    #[error("method not allowed")]
+    Method,
+}
+
+/// A change that waits for the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum AdminChange {
+    /// All settings as they are from then on.
+    Settings(BTreeMap<String, f64>),
+    /// Whether a machine is drained from then on.
+    Drain { machine: String, draining: bool },
+}
 
 /// What a path under `/admin` asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,46 +53,39 @@
     /// All machines.
     Machines,
     /// Drain a machine, or stop that.
-    Drain(String, bool),
+    Drain {
+        /// Its name.
+        machine: String,
+        /// Whether to drain it.
+        draining: bool,
+    },
 }
 
 impl AdminRoute {
-    /// Reads a path below `/admin/` and the method; `Err(true)` if only the method is wrong.
-    pub fn of(method: &str, rest: &str) -> Result<AdminRoute, bool> {
-        let route = match (rest, method) {
-            ("settings", "GET") => AdminRoute::Settings,
-            ("settings", "PUT") => AdminRoute::SetSettings,
-            ("status", "GET") => AdminRoute::Status,
-            ("machines", "GET") => AdminRoute::Machines,
-            ("settings" | "status" | "machines", _) => return Err(true),
-            _ => {
-                let name = rest.strip_prefix("machines/").and_then(|rest| rest.split_once('/'));
-                let Some((name, verb @ ("drain" | "undrain"))) = name else { return Err(false) };
-                let fine = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
-                if name.is_empty() || name.len() > 100 || !name.bytes().all(fine) {
-                    return Err(false);
-                }
-                if method != "POST" {
-                    return Err(true);
-                }
-                AdminRoute::Drain(name.to_owned(), verb == "drain")
-            }
+    /// Reads a path below `/admin/` and the method.
+    pub fn of(method: &str, rest: &str) -> Result<AdminRoute, NoRoute> {
+        let (route, wanted) = match (rest, method) {
+            ("settings", "PUT") => (AdminRoute::SetSettings, "PUT"),
+            ("settings", _) => (AdminRoute::Settings, "GET"),
+            ("status", _) => (AdminRoute::Status, "GET"),
+            ("machines", _) => (AdminRoute::Machines, "GET"),
+            _ => (AdminRoute::drain(rest).ok_or(NoRoute::Path)?, "POST"),
         };
-        Ok(route)
+        if method == wanted { Ok(route) } else { Err(NoRoute::Method) }
     }
-}
-
-/// How long requests took, by what they asked for.
-#[derive(Debug, Default)]
-pub struct Latencies(BTreeMap<&'static str, Histogram<u64>>);
 
-impl Latencies {
-    /// Notes a request that took so long.
-    pub fn note(&mut self, what: &'static str, seconds: f64) {
-        let histogram = self.0.entry(what).or_insert_with(|| {
-            Histogram::new_with_bounds(1, 60_000_000, 2).expect("the bounds are valid")
-        });
-        histogram.saturating_record((seconds * 1e6) as u64);
+    /// Reads `machines/NAME/drain` and `machines/NAME/undrain`.
+    fn drain(rest: &str) -> Option<AdminRoute> {
+        let (machine, verb) = rest.strip_prefix("machines/")?.split_once('/')?;
+        let draining = match verb {
+            "drain" => true,
+            "undrain" => false,
+            _ => return None,
+        };
+        let is_allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        let valid =
+            (1..=MAX_MACHINE_NAME).contains(&machine.len()) && machine.bytes().all(is_allowed);
+        valid.then(|| AdminRoute::Drain { machine: machine.to_owned(), draining })
     }
 }
 
@@ -86,32 +104,37 @@
                 self.reply(now, id, Reply::json(200, &status));
             }
             AdminRoute::Machines => {
-                let reply = match &self.leader {
-                    Some(leader) => {
-                        Reply::json(200, &Machines { machines: leader.machine_status(now) })
-                    }
-                    None => {
-                        let who =
-                            self.world.leader.as_ref().map(|(record, _)| record.node.as_str());
-                        let who = who.unwrap_or("nobody at the moment");
-                        Reply::error(421, format!("only the leader knows; that is {who}"))
-                    }
-                };
+                let reply = self.machines(now);
                 self.reply(now, id, reply);
             }
-            AdminRoute::Drain(machine, on) => {
-                let key = keys::drain(&machine);
-                let version = self.replica.version(&key);
-                let write = if on {
-                    Write::Put { key: key.clone(), value: true.into(), lease: None }
-                } else {
-                    Write::Delete { key: key.clone() }
-                };
-                let txn = Txn { guards: vec![Guard { key, version }], writes: vec![write] };
-                let answer = serde_json::json!({"machine": machine, "draining": on});
-                self.admin_write(now, id, txn, Reply::json(200, &answer));
-            }
+            AdminRoute::Drain { machine, draining } => self.on_drain(now, id, machine, draining),
+        }
+    }
+
+    fn machines(&self, now: f64) -> Reply {
+        if let Some(leader) = &self.leader {
+            return Reply::json(200, &Machines { machines: leader.machine_status(now) });
         }
+        let leader = self.world.leader.as_ref().map(|(record, _)| record.node.as_str());
+        let leader = leader.unwrap_or("nobody at the moment");
+        Reply::error(421, format!("only the leader knows; that is {leader}"))
+    }
+
+    fn on_drain(&mut self, now: f64, id: RequestId, machine: String, draining: bool) {
+        let known =
+            |leader: &Leader| leader.machine_status(now).iter().any(|m| m.machine == machine);
+        if draining && self.leader.as_ref().is_some_and(|leader| !known(leader)) {
+            return self.reply(now, id, Reply::error(404, format!("{machine}: no such machine")));
+        }
+        let key = keys::drain(&machine);
+        let version = self.replica.version(&key);
+        let write = if draining {
+            Write::Put { key: key.clone(), value: true.into(), lease: None }
+        } else {
+            Write::Delete { key: key.clone() }
+        };
+        let txn = Txn { guards: vec![Guard { key, version }], writes: vec![write] };
+        self.admin_write(now, id, txn, AdminChange::Drain { machine, draining });
     }
 
     pub(crate) fn answer_settings(&mut self, now: f64, id: RequestId) {
@@ -123,22 +146,22 @@
     }
 
     fn on_set_settings(&mut self, now: f64, id: RequestId, body: &[u8]) {
-        let wanted: VersionedSettings = match serde_json::from_slice(body) {
+        let wanted: SettingsChange = match serde_json::from_slice(body) {
             Ok(wanted) => wanted,
             Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
         };
-        let options = match self.options.with(&wanted.settings) {
+        let options = match self.options.with_json(&wanted.settings) {
             Ok(options) => options,
-            Err(error) => return self.reply(now, id, Reply::error(400, error)),
+            Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
         };
-        let value = serde_json::to_value(options.values()).expect("numbers always serialise");
+        let values = options.values();
+        let value = serde_json::to_value(&values).expect("numbers always serialise");
         let key = keys::OPTIONS.to_owned();
         let txn = Txn {
             guards: vec![Guard { key: key.clone(), version: wanted.version }],
             writes: vec![Write::Put { key, value, lease: None }],
         };
-        let answer = serde_json::json!({"settings": options.values()});
-        self.admin_write(now, id, txn, Reply::json(200, &answer));
+        self.admin_write(now, id, txn, AdminChange::Settings(values));
     }
 
     /// Answers an operator whose change has been made or not.
@@ -146,11 +169,11 @@
         &mut self,
         now: f64,
         id: RequestId,
-        reply: Reply,
+        change: AdminChange,
         outcome: &Outcome,
     ) {
         let reply = match outcome {
-            Outcome::Committed(_) => reply,
+            Outcome::Committed(revision) => change_made(*revision, change),
             Outcome::Conflict(_) => {
                 Reply::error(409, "changed by somebody else meanwhile: read it again")
             }
@@ -216,143 +239,18 @@
             machines,
         }
     }
+}
 
-    /// Metrics in the Prometheus text format.
-    pub(crate) fn metrics(&self, now: f64) -> String {
-        let mut out = String::new();
-        let mut row = |kind: &str, name: &str, help: &str, rows: &[(String, f64)]| {
-            // Writing to a String cannot fail.
-            let _ = writeln!(out, "# HELP gladekeel_{name} {help}\n# TYPE gladekeel_{name} {kind}");
-            for (labels, value) in rows {
-                let _ = writeln!(out, "gladekeel_{name}{labels} {value}");
-            }
-        };
-        let one = |value: f64| vec![(String::new(), value)];
-        let mut latencies = Vec::new();
-        for (what, histogram) in &self.latencies.0 {
-            for quantile in [0.5, 0.95, 0.99] {
-                let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
-                latencies
-                    .push((format!("{{request=\"{what}\",quantile=\"{quantile}\"}}"), seconds));
-            }
+/// Logs a change that was committed at this revision, and the answer to the operator.
+fn change_made(revision: u64, change: AdminChange) -> Reply {
+    match change {
+        AdminChange::Settings(settings) => {
+            tracing::info!(version = revision, ?settings, "settings changed");
+            Reply::json(200, &VersionedSettings { version: revision, settings })
         }
-        row("gauge", "request_seconds", "Time to answer, by quantile.", &latencies);
-        let counts: Vec<_> = self
-            .latencies
-            .0
-            .iter()
-            .map(|(what, h)| (format!("{{request=\"{what}\"}}"), h.len() as f64))
-            .collect();
-        row("counter", "requests_total", "Requests answered.", &counts);
-        row(
-            "gauge",
-            "leading",
-            "Whether this node leads.",
-            &one(f64::from(u8::from(self.leader.is_some()))),
-        );
-        row("gauge", "token", "The fencing token.", &one(self.world.token as f64));
-        row(
-            "counter",
-            "takeovers_total",
-            "Times that this node began to lead.",
-            &one(self.reign as f64),
-        );
-        if let Some(contact) = self.contact {
-            row(
-                "gauge",
-                "state_contact_seconds",
-                "Age of the last contact to the state service.",
-                &one(now - contact),
-            );
-        }
-        row(
-            "counter",
-            "state_requests_total",
-            "Requests to the state service.",
-            &one(self.state_requests as f64),
-        );
-        row(
-            "counter",
-            "state_writes_total",
-            "Puts and deletes asked for.",
-            &one(self.state_writes as f64),
-        );
-        row(
-            "gauge",
-            "waiting_requests",
-            "Requests that wait for the store.",
-            &one((self.waiting.len() + self.writes.len()) as f64),
-        );
-        let Some(leader) = &self.leader else { return out };
-        let c = leader.counts();
-        for (name, help, value) in [
-            ("rounds_total", "Rounds of decisions.", c.rounds),
-            ("machines_looked_at_total", "Times that placing looked at a machine.", c.looked),
-            ("commits_total", "Commits of the leader.", c.commits),
-            ("commit_writes_total", "Writes in them; by commits, the batch size.", c.writes),
-            ("task_starts_total", "Task starts committed.", c.starts),
-            ("task_restarts_total", "Tasks started anew for slowness.", c.restarts),
-            ("preemptions_total", "Tasks stopped to make room.", c.preemptions),
-            ("task_failures_total", "Tasks that failed.", c.failures),
-            ("machines_rented_total", "Machines rented.", c.rented),
-            ("machines_deleted_total", "Machines deleted.", c.deleted),
-        ] {
-            row("counter", name, help, &one(value as f64));
-        }
-        let spend: Vec<_> = [
-            ("boot", c.spend.boot),
-            ("idle", c.spend.idle),
-            ("gaps", c.spend.gaps),
-            ("waiting", c.spend.waiting),
-            ("running", c.spend.running),
-        ]
-        .into_iter()
-        .map(|(what, value)| (format!("{{on=\"{what}\"}}"), value))
-        .collect();
-        row(
-            "counter",
-            "spend_estimate",
-            "Estimate of the money spent since this node leads.",
-            &spend,
-        );
-        let mut states: BTreeMap<String, f64> = BTreeMap::new();
-        for machine in leader.machine_status(now) {
-            *states.entry(format!("{{state=\"{}\"}}", machine.state)).or_default() += 1.0;
+        AdminChange::Drain { machine, draining } => {
+            tracing::info!(machine, draining, "an operator drains a machine or takes that back");
+            Reply::json(200, &DrainStatus { machine, draining })
         }
-        row("gauge", "machines", "Machines by state.", &states.into_iter().collect::<Vec<_>>());
-        let (jobs, tasks) = leader.queue();
-        row(
-            "gauge",
-            "oldest_job_seconds",
-            "Age of the oldest unfinished job.",
-            &one(leader.oldest_job_s(now).unwrap_or(0.0)),
-        );
-        row(
-            "gauge",
-            "log_segments",
-            "Segments of the leader's log in use.",
-            &one(leader.log_segments() as f64),
-        );
-        row("gauge", "open_jobs", "Unfinished jobs.", &one(jobs as f64));
-        row("gauge", "waiting_tasks", "Tasks on no machine.", &one(tasks as f64));
-        out
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn routes() {
-        let drain = |on| Ok(AdminRoute::Drain("n-1".into(), on));
-        assert_eq!(AdminRoute::of("POST", "machines/n-1/drain"), drain(true));
-        assert_eq!(AdminRoute::of("POST", "machines/n-1/undrain"), drain(false));
-        assert_eq!(AdminRoute::of("GET", "machines/n-1/drain"), Err(true));
-        assert_eq!(AdminRoute::of("POST", "machines/a b/drain"), Err(false));
-        assert_eq!(AdminRoute::of("POST", "machines//drain"), Err(false));
-        assert_eq!(AdminRoute::of("PUT", "settings"), Ok(AdminRoute::SetSettings));
-        assert_eq!(AdminRoute::of("POST", "settings"), Err(true));
-        assert_eq!(AdminRoute::of("GET", "else"), Err(false));
     }
 }
--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -1,7 +1,7 @@
 //! Answers to users: how a request is read and what each outcome looks like.
 
 use crate::{
-    admin::AdminRoute,
+    admin::{AdminRoute, NoRoute},
     world::{Counts, World},
 };
 use gladekeel_sched::Room;
@@ -88,8 +88,8 @@
             _ if path.starts_with("/admin/") => {
                 return match AdminRoute::of(method, &path["/admin/".len()..]) {
                     Ok(route) => Route::Admin(route),
-                    Err(true) => Route::WrongMethod,
-                    Err(false) => Route::Unknown,
+                    Err(NoRoute::Method) => Route::WrongMethod,
+                    Err(NoRoute::Path) => Route::Unknown,
                 };
             }
             _ => match path.strip_prefix("/api/jobs/").map(|rest| rest.split_once('/')) {
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions come out, and the same events give the same actions. [`shell`] gives
 //! it sockets and a clock; the testkit gives it a simulated world instead.
 
+pub mod admin;
 pub mod cloud;
 pub mod keys;
 pub mod leader;
@@ -11,10 +12,10 @@
 pub mod node;
 pub mod options;
 pub mod shell;
+pub mod sockets;
 pub mod world;
 
-mod admin;
 mod api;
 mod checkin;
 mod election;
-mod sockets;
+mod metrics;
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -5,13 +5,14 @@
 mod users;
 
 use crate::{
-    admin::Latencies,
+    admin::AdminChange,
     api::Route,
     checkin::{Answer, Desk, Standing},
     cloud::{CloudCall, CloudOutcome},
     election::Election,
     keys::{self, LeaderRecord},
     leader::{DirectCall, DirectOutcome, Knowledge, Leader},
+    metrics::{Latencies, ProcessMetrics},
     options::Options,
     sockets::Sockets,
     world::World,
@@ -186,7 +187,7 @@
     Sync,
     Load,
     Users(Vec<UserWrite>),
-    Admin(RequestId, Reply),
+    Admin(RequestId, AdminChange),
     Lead(u64),
     Log(u64),
     /// Whether a transaction that has no answer yet was made.
@@ -299,6 +300,7 @@
     /// Requests under way that are timed.
     open: HashMap<RequestId, (&'static str, f64)>,
     pub(crate) latencies: Latencies,
+    pub(crate) process: ProcessMetrics,
     pub(crate) state_requests: u64,
     pub(crate) state_writes: u64,
     actions: Vec<Action>,
@@ -386,6 +388,7 @@
             confirm_at: 0.0,
             open: HashMap::new(),
             latencies: Latencies::default(),
+            process: ProcessMetrics::default(),
             state_requests: 0,
             state_writes: 0,
             actions: Vec::new(),
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -30,7 +30,7 @@
         let Some((purpose, request, sent_at)) = self.calls.remove(&call) else { return };
         match purpose {
             Purpose::Sync | Purpose::Load => self.on_read(now, sent_at, outcome),
-            Purpose::Admin(id, reply) => self.admin_written(now, id, reply, &outcome),
+            Purpose::Admin(id, change) => self.admin_written(now, id, change, &outcome),
             Purpose::Users(writes) => self.users_written(now, writes, outcome),
             Purpose::Lead(token) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -5,6 +5,7 @@
     Waiter,
 };
 use crate::{
+    admin::AdminChange,
     api::{self, Reply, Verdict},
     keys,
 };
@@ -34,12 +35,12 @@
     }
 
     /// Makes a change for an operator, who is answered once it is made or not.
-    pub(crate) fn admin_write(&mut self, now: f64, id: RequestId, txn: Txn, reply: Reply) {
+    pub(crate) fn admin_write(&mut self, now: f64, id: RequestId, txn: Txn, change: AdminChange) {
         if self.overloaded(now, id) {
             return;
         }
         self.own_writes.take(now, 1.0);
-        self.call_state(now, Purpose::Admin(id, reply), Call::Commit(txn));
+        self.call_state(now, Purpose::Admin(id, change), Call::Commit(txn));
     }
 
     pub(super) fn later(&mut self, now: f64, id: RequestId, what: &str) {
--- a/crates/gladekeel-controller/src/options.rs
+++ b/crates/gladekeel-controller/src/options.rs
@@ -2,6 +2,7 @@
 
 use gladekeel_sched::{fleet::Sizing, share::Hopper};
 use gladekeel_wire::settings::Workers;
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 /// The options in force.
@@ -43,6 +44,30 @@
     }
 }
 
+/// A change that cannot be made.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum BadOption {
+    /// There is no option of this name.
+    #[error("{name}: no such setting; there are {}", names().join(", "))]
+    Unknown {
+        /// The name.
+        name: String,
+    },
+    /// The value is not a number, or out of range.
+    #[error("{name}: must be a number from {least} to {most}")]
+    OutOfRange {
+        /// The option.
+        name: &'static str,
+        /// Its least value.
+        least: f64,
+        /// Its largest value.
+        most: f64,
+    },
+    /// A change without any option.
+    #[error("settings: must name at least one setting")]
+    Empty,
+}
+
 /// An option's name, range and place.
 struct Field {
     name: &'static str,
@@ -51,6 +76,21 @@
     place: fn(&mut Options) -> &mut f64,
 }
 
+impl Field {
+    fn of(name: &str) -> Result<&'static Field, BadOption> {
+        let field = FIELDS.iter().find(|field| field.name == name);
+        field.ok_or_else(|| BadOption::Unknown { name: name.to_owned() })
+    }
+
+    fn out_of_range(&self) -> BadOption {
+        BadOption::OutOfRange { name: self.name, least: self.least, most: self.most }
+    }
+}
+
+fn names() -> Vec<&'static str> {
+    FIELDS.iter().map(|field| field.name).collect()
+}
+
 const FIELDS: &[Field] = &[
     Field { name: "beta", least: 1.01, most: 2.0, place: |o| &mut o.hopper.beta },
     Field { name: "epsilon", least: 0.0, most: 1.0, place: |o| &mut o.hopper.epsilon },
@@ -77,44 +117,31 @@
         FIELDS.iter().map(|field| (field.name.to_owned(), *(field.place)(&mut copy))).collect()
     }
 
-    /// The options with some changed; all or none, and the error names the field
-    /// and what it allows.
-    pub fn with(&self, values: &BTreeMap<String, f64>) -> Result<Options, String> {
+    /// The options with some changed; all or none.
+    pub fn with(&self, values: &BTreeMap<String, f64>) -> Result<Options, BadOption> {
         let mut new = self.clone();
         for (name, value) in values {
-            let Some(field) = FIELDS.iter().find(|field| field.name == name) else {
-                let known: Vec<&str> = FIELDS.iter().map(|field| field.name).collect();
-                return Err(format!("{name}: no such setting; there are {}", known.join(", ")));
-            };
-            let (least, most) = (field.least, field.most);
-            if !value.is_finite() || !(least..=most).contains(value) {
-                return Err(format!("{name}: must be a number from {least} to {most}"));
+            let field = Field::of(name)?;
+            // A value that is not a number is in no range.
+            if !(field.least..=field.most).contains(value) {
+                return Err(field.out_of_range());
             }
             *(field.place)(&mut new) = *value;
         }
         Ok(new)
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
-    #[test]
-    fn values_read_back_and_ranges_hold() {
-        let workers = Workers {
-            report_s: 10.0,
-            lease_s: 45.0,
-            cancel_s: 65.0,
-            gang_wait_s: 30.0,
-            gang_peer_s: 4.0,
+    /// The same for values that an operator has sent, which need not be numbers.
+    pub fn with_json(&self, values: &BTreeMap<String, Value>) -> Result<Options, BadOption> {
+        if values.is_empty() {
+            return Err(BadOption::Empty);
+        }
+        let number = |(name, value): (&String, &Value)| {
+            let field = Field::of(name)?;
+            let number = value.as_f64().ok_or_else(|| field.out_of_range())?;
+            Ok((name.clone(), number))
         };
-        let options = Options::new(&workers);
-        assert_eq!(options.with(&options.values()), Ok(options.clone()), "defaults are in range");
-        let change = |name: &str, value| options.with(&BTreeMap::from([(name.to_owned(), value)]));
-        assert_eq!(change("beta", 1.5).unwrap().hopper.beta, 1.5);
-        assert_eq!(change("beta", 2.5).unwrap_err(), "beta: must be a number from 1.01 to 2");
-        assert!(change("beta", f64::NAN).is_err());
-        assert!(change("gamma", 1.0).unwrap_err().starts_with("gamma: no such setting"));
+        let numbers = values.iter().map(number).collect::<Result<_, BadOption>>()?;
+        self.with(&numbers)
     }
 }
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -4,13 +4,16 @@
     api::Route,
     leader::{DirectCall, DirectOutcome},
     node::{Action, Event, Node, Reply, RequestId},
-    sockets::Sockets,
+    sockets::{SocketUse, Sockets},
+};
+use gladekeel_http::{
+    Client, ClientError, ConnectionClasses, ConnectionCounts, Limits, Pool, Request, Response,
+    Server,
 };
-use gladekeel_http::{Client, ClientError, Limits, Parties, Pool, Request, Response, Server};
 use gladekeel_store::Outcome;
 use gladekeel_wire::{
     mesh::{Header, Kind},
-    settings::Settings,
+    settings::{Peer, Settings},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -25,7 +28,7 @@
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
     task::spawn_local,
-    time::timeout,
+    time::{MissedTickBehavior, timeout},
 };
 
 /// Time between ticks.
@@ -33,6 +36,28 @@
 /// Frames that wait for a controller that cannot be reached; newer ones are dropped.
 const MESH_QUEUE: usize = 1024;
 
+/// Idle connections that are kept to the state service.
+const STATE_CONNECTIONS: usize = 8;
+/// Idle connections that are kept to the cloud.
+const CLOUD_CONNECTIONS: usize = 4;
+/// Time to connect to another controller, or to send it a frame.
+const MESH_SEND: Duration = Duration::from_secs(2);
+/// Pause before another controller is connected to again.
+const MESH_RECONNECT: Duration = Duration::from_millis(500);
+/// Hellos come every second: a connection that is silent for this long is dead.
+const MESH_SILENCE: Duration = Duration::from_secs(60);
+/// Connections from other controllers; one each is enough, a few more allow for ones that
+/// hang.
+const MESH_CONNECTIONS: usize = 32;
+/// Pause after a connection from another controller could not be accepted.
+const MESH_ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// An idle connection of a client may be closed for another one after this long at least.
+const EVICTABLE_AFTER_S: f64 = 15.0;
+/// The class of connections from users, operators and health checks.
+const USERS: usize = 0;
+/// The class of connections from workers.
+const WORKERS: usize = 1;
+
 struct Shell {
     node: RefCell<Node>,
     start: Instant,
@@ -41,59 +66,36 @@
     state: Client,
     cloud: Client,
     mesh: Vec<mpsc::Sender<Vec<u8>>>,
+    mesh_connections: Rc<Cell<usize>>,
     workers: Pool,
 }
 
+/// Counts an open connection to or from another controller.
+struct MeshConnection(Rc<Cell<usize>>);
+
+impl MeshConnection {
+    fn open(count: &Rc<Cell<usize>>) -> MeshConnection {
+        count.set(count.get() + 1);
+        MeshConnection(count.clone())
+    }
+}
+
+impl Drop for MeshConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Runs a node until the process ends. Must be called inside a `LocalSet`.
 pub async fn run(settings: Settings, seed: u64) -> io::Result<()> {
     let users = TcpListener::bind(settings.listen).await?;
     let peers = TcpListener::bind(settings.peer_listen).await?;
-    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-    let mesh = settings
-        .peers
-        .iter()
-        .map(|peer| {
-            let (sender, receiver) = mpsc::channel(MESH_QUEUE);
-            spawn_local(speak(peer.addr, receiver));
-            sender
-        })
-        .collect();
     let sockets = Sockets::of(&settings.params.limits);
-    let shell = Rc::new(Shell {
-        start: Instant::now(),
-        answers: RefCell::default(),
-        next_request: Cell::new(0),
-        state: Client::new(settings.services.state, 8),
-        cloud: Client::new(settings.services.cloud, 4),
-        mesh,
-        workers: Pool::new(sockets.calls),
-        node: RefCell::new(Node::new(settings.clone(), seed, epoch)),
-    });
+    let shell = Rc::new(Shell::new(&settings, &sockets, seed));
     tracing::info!(node = settings.node, listen = %settings.listen, "started");
-    let limits = Limits {
-        // Workers are silent between reports, users between polls.
-        spare: Duration::from_secs_f64((2.0 * settings.params.workers.report_s).max(15.0)),
-        ..Limits::for_connections(sockets.served)
-    };
-    let parties = Parties {
-        kept: vec![sockets.kept_users, sockets.kept_workers],
-        of: |request| usize::from(Route::of(&request.method, &request.path) == Route::Checkin),
-    };
-    let server = Server::new(users, limits).with_parties(parties);
-    let served = server.open();
-    spawn_local(hear(peers, shell.clone()));
-    spawn_local({
-        let shell = shell.clone();
-        async move {
-            let mut ticks = tokio::time::interval(TICK);
-            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-            loop {
-                ticks.tick().await;
-                shell.workers.resize(sockets.calls_beside(served.get()));
-                shell.handle(Event::Tick);
-            }
-        }
-    });
+    let server = user_server(users, &settings, &sockets);
+    spawn_local(accept_peers(peers, shell.clone()));
+    spawn_local(tick(shell.clone(), sockets, server.counts()));
     server
         .run(move |request| {
             let shell = shell.clone();
@@ -103,7 +105,80 @@
     Ok(())
 }
 
+/// The server for users, operators and workers.
+fn user_server(listener: TcpListener, settings: &Settings, sockets: &Sockets) -> Server {
+    // Workers are silent between reports, users between polls.
+    let evictable_s = (2.0 * settings.params.workers.report_s).max(EVICTABLE_AFTER_S);
+    let limits = Limits {
+        evictable_after: Duration::from_secs_f64(evictable_s),
+        ..Limits::for_connections(sockets.served)
+    };
+    let classes = ConnectionClasses {
+        reserved: vec![sockets.kept_users, sockets.kept_workers],
+        classify: |request| match Route::of(&request.method, &request.path) {
+            Route::Checkin => WORKERS,
+            _ => USERS,
+        },
+    };
+    Server::new(listener, limits).with_classes(classes)
+}
+
+/// Lets the node act on the time that passes.
+async fn tick(shell: Rc<Shell>, sockets: Sockets, served: Rc<ConnectionCounts>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shell.workers.resize(sockets.calls_beside(served.open()));
+        shell.node.borrow_mut().record_sockets(shell.socket_use(&served));
+        shell.tick();
+    }
+}
+
 impl Shell {
+    fn new(settings: &Settings, sockets: &Sockets, seed: u64) -> Shell {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mesh_connections = Rc::default();
+        let connect = |peer: &Peer| {
+            let (sender, receiver) = mpsc::channel(MESH_QUEUE);
+            spawn_local(send_frames(peer.addr, receiver, Rc::clone(&mesh_connections)));
+            sender
+        };
+        Shell {
+            start: Instant::now(),
+            answers: RefCell::default(),
+            next_request: Cell::new(0),
+            state: Client::new(settings.services.state, STATE_CONNECTIONS),
+            cloud: Client::new(settings.services.cloud, CLOUD_CONNECTIONS),
+            mesh: settings.peers.iter().map(connect).collect(),
+            mesh_connections,
+            workers: Pool::new(sockets.calls),
+            node: RefCell::new(Node::new(settings.clone(), seed, epoch.as_secs_f64())),
+        }
+    }
+
+    fn socket_use(&self, served: &ConnectionCounts) -> SocketUse {
+        SocketUse {
+            users: served.of_class(USERS),
+            workers: served.of_class(WORKERS),
+            unknown: served.unclassified(),
+            calls: self.workers.held(),
+            mesh: self.mesh_connections.get(),
+        }
+    }
+
+    /// Lets time pass; measures it if the node made a round of decisions.
+    fn tick(self: &Rc<Self>) {
+        let rounds = || self.node.borrow().leader().map(|leader| leader.counts().rounds);
+        let before = rounds();
+        let start = Instant::now();
+        self.handle(Event::Tick);
+        let after = rounds();
+        if after.is_some() && after != before {
+            self.node.borrow_mut().record_round(start.elapsed().as_secs_f64());
+        }
+    }
+
     fn handle(self: &Rc<Self>, event: Event) {
         let now = self.start.elapsed().as_secs_f64();
         let actions = self.node.borrow_mut().handle(now, event);
@@ -205,62 +280,70 @@
 }
 
 /// Sends frames to a peer, connecting anew whenever that fails.
-async fn speak(addr: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
-    let limit = Duration::from_secs(2);
+async fn send_frames(
+    addr: SocketAddr,
+    mut frames: mpsc::Receiver<Vec<u8>>,
+    connections: Rc<Cell<usize>>,
+) {
     loop {
-        let stream = match timeout(limit, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => Some(stream),
-            _ => None,
-        };
-        if let Some(mut stream) = stream {
-            let _ = stream.set_nodelay(true);
-            loop {
-                let Some(frame) = frames.recv().await else { return };
-                match timeout(limit, stream.write_all(&frame)).await {
-                    Ok(Ok(())) => {}
-                    _ => break,
-                }
+        if let Ok(Ok(stream)) = timeout(MESH_SEND, TcpStream::connect(addr)).await {
+            let _open = MeshConnection::open(&connections);
+            if send_until_failure(stream, &mut frames).await.is_none() {
+                return;
             }
         }
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(MESH_RECONNECT).await;
+        // What waited meanwhile is stale.
         while frames.try_recv().is_ok() {}
     }
 }
 
+/// Sends frames over a connection until it fails; none if there will be no more frames.
+async fn send_until_failure(
+    mut stream: TcpStream,
+    frames: &mut mpsc::Receiver<Vec<u8>>,
+) -> Option<()> {
+    let _ = stream.set_nodelay(true);
+    loop {
+        let frame = frames.recv().await?;
+        if !matches!(timeout(MESH_SEND, stream.write_all(&frame)).await, Ok(Ok(()))) {
+            return Some(());
+        }
+    }
+}
+
 /// Accepts peers and reads their frames.
-async fn hear(listener: TcpListener, shell: Rc<Shell>) {
-    // One connection a peer is enough; a few more allow for ones that hang.
-    let open = Rc::new(Cell::new(0usize));
+async fn accept_peers(listener: TcpListener, shell: Rc<Shell>) {
+    let accepted = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            tokio::time::sleep(MESH_ACCEPT_RETRY).await;
             continue;
         };
-        if open.get() >= 32 {
+        if accepted.get() >= MESH_CONNECTIONS {
             continue;
         }
-        open.set(open.get() + 1);
-        let (shell, open) = (shell.clone(), open.clone());
+        let counted = MeshConnection::open(&accepted);
+        let open = MeshConnection::open(&shell.mesh_connections);
+        let shell = shell.clone();
         spawn_local(async move {
-            if let Err(error) = frames(stream, &shell).await {
+            if let Err(error) = read_frames(stream, &shell).await {
                 tracing::debug!(%error, "a controller's connection ended");
             }
-            open.set(open.get() - 1);
+            drop((counted, open));
         });
     }
 }
 
-async fn frames(mut stream: TcpStream, shell: &Rc<Shell>) -> io::Result<()> {
-    // Hellos come every second; a minute of silence is a dead connection.
-    let patience = Duration::from_secs(60);
+async fn read_frames(mut stream: TcpStream, shell: &Rc<Shell>) -> io::Result<()> {
     let mut head = [0; Header::SIZE];
     loop {
-        timeout(patience, stream.read_exact(&mut head)).await??;
+        timeout(MESH_SILENCE, stream.read_exact(&mut head)).await??;
         let Some((header, kind)): Option<(Header, Kind)> = Header::read(&head) else {
             return Err(io::ErrorKind::InvalidData.into());
         };
         let mut payload = vec![0; header.len.get() as usize];
-        timeout(patience, stream.read_exact(&mut payload)).await??;
+        timeout(MESH_SILENCE, stream.read_exact(&mut payload)).await??;
         shell.handle(Event::Mesh { header, kind, payload });
     }
 }
--- /dev/null
+++ b/crates/gladekeel-controller/tests/sockets.rs
@@ -0,0 +1,23 @@
+//! The division of a process's sockets.
+
+use gladekeel_controller::sockets::Sockets;
+use gladekeel_wire::settings::Limits;
+
+/// Once workers' connections filled the places of users as well: a leader of 3,375
+/// machines refused both at random.
+#[test]
+fn every_socket_has_its_place() {
+    for max_connections in [32, 100, 2900, 4545, 100_000] {
+        let limits = Limits { cpu_share: 0.1, memory_mb: 100.0, max_connections };
+        let sockets = Sockets::of(&limits);
+        let refusals = gladekeel_http::Limits::for_connections(sockets.served).refusals;
+        let own = max_connections / 40 + 8;
+        assert!(sockets.served + refusals + sockets.calls + own <= max_connections);
+        assert!(sockets.kept_users + sockets.kept_workers <= sockets.served);
+        assert_eq!(sockets.calls_beside(sockets.served), sockets.calls);
+        assert!(sockets.calls_beside(0) <= sockets.served + sockets.calls);
+    }
+    let limits = Limits { cpu_share: 0.1, memory_mb: 100.0, max_connections: 4545 };
+    let sockets = Sockets::of(&limits);
+    assert!(sockets.served - sockets.kept_users >= 3375, "half as many machines again");
+}
--- a/crates/gladekeel-http/src/client.rs
+++ b/crates/gladekeel-http/src/client.rs
@@ -130,7 +130,8 @@
         while self.held() > most && self.spare.borrow_mut().drop_oldest() {}
     }
 
-    fn held(&self) -> usize {
+    /// Connections that it holds now, idle and in use.
+    pub fn held(&self) -> usize {
         self.spare.borrow().order.len() + self.busy.get()
     }
 
--- a/crates/gladekeel-http/tests/loopback.rs
+++ b/crates/gladekeel-http/tests/loopback.rs
@@ -1,6 +1,6 @@
 //! The server and the client over real sockets.
 
-use gladekeel_http::{Client, ClientError, Limits, Parties, Pool, Response, Server};
+use gladekeel_http::{Client, ClientError, ConnectionClasses, Limits, Pool, Response, Server};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,13 +12,17 @@
 
 /// Starts a server that answers with the request's path and body.
 async fn echo(connections: usize) -> SocketAddr {
-    serve(Limits::for_connections(connections), Parties { kept: vec![0], of: |_| 0 }).await
+    serve(
+        Limits::for_connections(connections),
+        ConnectionClasses { reserved: vec![0], classify: |_| 0 },
+    )
+    .await
 }
 
-async fn serve(limits: Limits, parties: Parties) -> SocketAddr {
+async fn serve(limits: Limits, classes: ConnectionClasses) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let server = Server::new(listener, limits).with_parties(parties);
+    let server = Server::new(listener, limits).with_classes(classes);
     spawn_local(server.run(|request| async move {
         let mut body = request.path.into_bytes();
         body.extend_from_slice(&request.body);
@@ -97,15 +101,18 @@
 }
 
 /// Three places, one of them kept for each of the parties `/a` and `/b`.
-fn two_parties() -> Parties {
-    Parties { kept: vec![1, 1], of: |request| usize::from(request.path == "/b") }
+fn two_classes() -> ConnectionClasses {
+    ConnectionClasses {
+        reserved: vec![1, 1],
+        classify: |request| usize::from(request.path == "/b"),
+    }
 }
 
 #[test]
-fn no_party_locks_another_one_out() {
+fn no_class_locks_another_one_out() {
     run(async {
         for (crowd, other) in [("/a", "/b"), ("/b", "/a")] {
-            let addr = serve(Limits::for_connections(3), two_parties()).await;
+            let addr = serve(Limits::for_connections(3), two_classes()).await;
             let mut inside = Vec::new();
             for _ in 0..2 {
                 let client = Client::new(addr, 1);
@@ -116,7 +123,7 @@
             let reply = Client::new(addr, 0).send("GET", crowd, b"", PATIENCE).await.unwrap();
             assert_eq!(reply.status, 503, "the crowd has its places");
             let reply = Client::new(addr, 0).send("GET", other, b"", PATIENCE).await.unwrap();
-            assert_eq!(reply.status, 200, "the other party has its own");
+            assert_eq!(reply.status, 200, "the other class has its own");
             for client in inside {
                 let reply = client.send("GET", crowd, b"", PATIENCE).await.unwrap();
                 assert_eq!(reply.status, 200, "who is inside stays");
@@ -128,8 +135,8 @@
 #[test]
 fn the_longest_idle_connection_makes_room() {
     run(async {
-        let limits = Limits { spare: Duration::ZERO, ..Limits::for_connections(3) };
-        let addr = serve(limits, two_parties()).await;
+        let limits = Limits { evictable_after: Duration::ZERO, ..Limits::for_connections(3) };
+        let addr = serve(limits, two_classes()).await;
         let clients: Vec<Client> = (0..3).map(|_| Client::new(addr, 1)).collect();
         for client in &clients {
             let reply = client.send("GET", "/a", b"", PATIENCE).await.unwrap();
@@ -180,3 +187,29 @@
         assert_eq!(reply.status, 200, "requests that were given up give their places back");
     });
 }
+
+#[test]
+fn open_connections_are_counted_by_class() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = Server::new(listener, Limits::for_connections(10)).with_classes(two_classes());
+        let counts = server.counts();
+        spawn_local(server.run(|_| async { Response::text(200, "") }));
+        let clients: Vec<Client> = (0..3).map(|_| Client::new(addr, 1)).collect();
+        for (client, path) in clients.iter().zip(["/a", "/b", "/b"]) {
+            client.send("GET", path, b"", PATIENCE).await.unwrap();
+        }
+        assert_eq!((counts.of_class(0), counts.of_class(1), counts.of_class(2)), (1, 2, 0));
+        let silent = TcpStream::connect(addr).await.unwrap();
+        while counts.unclassified() == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!((counts.open(), counts.unclassified()), (4, 1));
+        drop((clients, silent));
+        while counts.open() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!((counts.of_class(0), counts.of_class(1), counts.unclassified()), (0, 0, 0));
+    });
+}
--- a/crates/gladekeel-wire/src/admin.rs
+++ b/crates/gladekeel-wire/src/admin.rs
@@ -3,16 +3,37 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The operators' settings with their version, for `GET` and `PUT /admin/settings`.
+/// The operators' settings with their version: the answer to `GET` and `PUT
+/// /admin/settings`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct VersionedSettings {
     /// Version of the stored settings; 0 if none are stored. A `PUT` names the
     /// version that it changes, so that concurrent changes are not overwritten.
     pub version: u64,
-    /// Values by name. A `PUT` may name some only; the others stay.
+    /// Values by name.
     pub settings: BTreeMap<String, f64>,
 }
 
+/// What a `PUT /admin/settings` asks for; the values are checked one by one, so that an
+/// error can name the setting and its range.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettingsChange {
+    /// Version of the settings that are changed.
+    pub version: u64,
+    /// The new values by name.
+    pub settings: BTreeMap<String, serde_json::Value>,
+}
+
+/// The answer to a drain or undrain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DrainStatus {
+    /// The machine.
+    pub machine: String,
+    /// Whether it gets no more work.
+    pub draining: bool,
+}
+
 /// Another controller as this one sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeStatus {
