--- a/crates/gladekeel/src/client.rs
+++ b/crates/gladekeel/src/client.rs
@@ -2,7 +2,8 @@
 
 use gladekeel_http::{Client, ClientError, Reply};
 use gladekeel_wire::{
-    admin::{Machines, Status, VersionedSettings},
+    JobId,
+    admin::{Machines, SettingsChange, Status, VersionedSettings},
     job::{ErrorBody, JobSpec, JobStatus},
 };
 use serde::de::DeserializeOwned;
@@ -12,6 +13,10 @@
 
 /// How long an answer may take.
 const LIMIT: Duration = Duration::from_secs(8);
+/// Exit code when the service refuses, or something else fails.
+const FAILED: u8 = 1;
+/// Exit code for a command line that makes no sense, as clap has it.
+const WRONG_USE: u8 = 2;
 /// Exit code when the service cannot be reached.
 const UNREACHABLE: u8 = 3;
 
@@ -37,12 +42,12 @@
     /// Show a job's state.
     Show {
         /// The job.
-        id: String,
+        id: JobId,
     },
     /// Cancel a job.
     Cancel {
         /// The job.
-        id: String,
+        id: JobId,
     },
 }
 
@@ -65,6 +70,15 @@
     Ok((name.to_owned(), value))
 }
 
+/// Reads a machine's name: what may stand in a path as it is.
+pub fn machine_name(text: &str) -> Result<String, String> {
+    let is_allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    if text.is_empty() || !text.bytes().all(is_allowed) {
+        return Err("a name consists of letters, digits, '-', '_' and '.'".to_owned());
+    }
+    Ok(text.to_owned())
+}
+
 /// What went wrong, for the user.
 pub struct Failure {
     message: String,
@@ -74,7 +88,25 @@
 impl Failure {
     /// A failure that is not about reaching the service.
     pub fn new(message: impl Into<String>) -> Failure {
-        Failure { message: message.into(), code: 1 }
+        Failure { message: message.into(), code: FAILED }
+    }
+
+    /// A command line that makes no sense.
+    pub fn wrong_use(message: impl Into<String>) -> Failure {
+        Failure { message: message.into(), code: WRONG_USE }
+    }
+
+    /// No answer from this address.
+    fn unreachable(server: SocketAddr, error: &ClientError) -> Failure {
+        let message = match error {
+            ClientError::NotSent(why) => {
+                format!("cannot reach {server}: {why}; is a controller node running there?")
+            }
+            ClientError::NoAnswer(why) => {
+                format!("no answer from {server}: {why}; it may or may not have been carried out")
+            }
+        };
+        Failure { message, code: UNREACHABLE }
     }
 
     /// Prints it and returns the exit code.
@@ -91,13 +123,9 @@
             .build()
             .map_err(|error| Failure::new(format!("cannot start: {error}")))?;
         let client = Client::new(self.server, 0);
-        let reply = runtime.block_on(client.send(method, path, body, LIMIT)).map_err(|error| {
-            let hint = match &error {
-                ClientError::NotSent(_) => "is a controller node running there?",
-                ClientError::NoAnswer(_) => "it may or may not have been carried out",
-            };
-            Failure { message: format!("{}: {error}; {hint}", self.server), code: UNREACHABLE }
-        })?;
+        let reply = runtime
+            .block_on(client.send(method, path, body, LIMIT))
+            .map_err(|error| Failure::unreachable(self.server, &error))?;
         if reply.status < 300 {
             return Ok(reply);
         }
@@ -158,27 +186,29 @@
     }
 }
 
+/// The part of an answer that lists settings.
+#[derive(serde::Deserialize)]
+struct SettingValues {
+    settings: BTreeMap<String, f64>,
+}
+
+impl SettingValues {
+    fn lines(self) -> String {
+        self.settings.iter().map(|(name, value)| format!("{name} = {value}\n")).collect()
+    }
+}
+
 /// `gladekeel settings`.
 pub fn settings(server: &Server, command: &Settings) -> Result<(), Failure> {
-    let lines = |settings: &BTreeMap<String, f64>| -> String {
-        settings.iter().map(|(name, value)| format!("{name} = {value}\n")).collect()
-    };
     match command {
-        Settings::Get => {
-            server.print("GET", "/admin/settings", b"", |s: VersionedSettings| lines(&s.settings))
-        }
+        Settings::Get => server.print("GET", "/admin/settings", b"", SettingValues::lines),
         Settings::Set { values } => {
             let stored: VersionedSettings = read(&server.ask("GET", "/admin/settings", b"")?)?;
-            let change = VersionedSettings {
-                version: stored.version,
-                settings: values.iter().cloned().collect(),
-            };
+            let settings = values.iter().map(|(name, value)| (name.clone(), (*value).into()));
+            let change = SettingsChange { version: stored.version, settings: settings.collect() };
             let body = serde_json::to_vec(&change)
                 .map_err(|error| Failure::new(format!("cannot send that: {error}")))?;
-            server.print("PUT", "/admin/settings", &body, |answer: serde_json::Value| {
-                let settings = serde_json::from_value(answer["settings"].clone());
-                settings.map_or_else(|_| answer.to_string(), |settings| lines(&settings))
-            })
+            server.print("PUT", "/admin/settings", &body, SettingValues::lines)
         }
     }
 }
@@ -214,7 +244,8 @@
             Some(machines) => {
                 let counts: Vec<String> =
                     machines.iter().map(|(state, count)| format!("{count} {state}")).collect();
-                text += &format!("machines: {}\n", counts.join(", "));
+                let counts = if counts.is_empty() { "none".to_owned() } else { counts.join(", ") };
+                text += &format!("machines: {counts}\n");
             }
         }
         text
--- a/crates/gladekeel/src/main.rs
+++ b/crates/gladekeel/src/main.rs
@@ -50,11 +50,13 @@
     /// Give a machine no more work and return it once it is empty.
     Drain {
         /// The machine.
+        #[arg(value_parser = client::machine_name)]
         machine: String,
     },
     /// Take back a `drain`.
     Undrain {
         /// The machine.
+        #[arg(value_parser = client::machine_name)]
         machine: String,
     },
 }
@@ -74,7 +76,7 @@
         Some(Command::Undrain { machine }) => client::drain(server, &machine, false),
         None => match cli.run.config {
             Some(config) => load(&config).and_then(serve).map_err(Failure::new),
-            None => Err(Failure::new("no settings file: use --config FILE, or --help")),
+            None => Err(Failure::wrong_use("no settings file: use --config FILE, or --help")),
         },
     };
     match result {
