Leader: images, types and zones keep their indices over a new token

What is known of machines outlives a token of the same process and names images, types and zones by index, but the indices were dealt anew with each token, from the jobs then open. So after a new token tasks looked for their image on the wrong machines. The names go on with that knowledge now; types of the cloud are still taken from the store anew.

Ruled out: names in place of indices in what is known of machines; placing looks at them for every machine in every round.

--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -101,6 +101,8 @@
 /// token, and is rebuilt from reports and lists by a new leader.
 #[derive(Debug, Default)]
 pub struct Knowledge {
+    /// The indices that all else here is told in. A leader holds them beside its knowledge.
+    catalog: Catalog,
     machine_names: Interner<String>,
     machines: BTreeMap<u32, Machine>,
     /// Machines that may be on their way out; [`Machine::leaving`] says which are.
@@ -203,7 +205,9 @@
         know: Option<Knowledge>,
     ) -> Result<Leader, Unreadable> {
         let Start { token, now, epoch, params, salt } = start;
-        let catalog = Catalog::new(&params, world.types.as_ref().map(|(types, _)| types.clone()));
+        let mut know = know.unwrap_or_default();
+        let mut catalog = std::mem::take(&mut know.catalog);
+        catalog.renew(&params, world.types.as_ref().map(|(types, _)| &**types));
         let teams = params
             .teams
             .iter()
@@ -223,7 +227,7 @@
             since: now,
             epoch,
             catalog,
-            know: know.unwrap_or_default(),
+            know,
             jobs: BTreeMap::new(),
             job_names: Interner::default(),
             attempts: Attempts::default(),
@@ -276,7 +280,7 @@
 
     /// What outlives the token, for the next one.
     pub fn into_knowledge(self) -> Knowledge {
-        self.know
+        Knowledge { catalog: self.catalog, ..self.know }
     }
 
     /// Counters so far.
--- a/crates/gladekeel-controller/src/leader/model.rs
+++ b/crates/gladekeel-controller/src/leader/model.rs
@@ -30,18 +30,19 @@
 }
 
 impl Catalog {
-    pub fn new(params: &Params, types: Option<Rc<MachineTypes>>) -> Catalog {
-        let mut catalog = Catalog::default();
+    /// Gets ready for a new token. Names keep their indices, since what is known of machines
+    /// goes on and speaks of kinds, zones and images by them.
+    pub fn renew(&mut self, params: &Params, types: Option<&MachineTypes>) {
         for team in &params.teams {
-            catalog.teams.intern(&team.name);
+            self.teams.intern(&team.name);
         }
         for zone in &params.zones {
-            catalog.zones.intern(zone);
+            self.zones.intern(zone);
         }
+        self.types.fill(None);
         if let Some(types) = types {
-            catalog.learn(&types);
+            self.learn(types);
         }
-        catalog
     }
 
     pub fn learn(&mut self, types: &MachineTypes) {
