--- a/crates/gladekeel-testkit/src/rules.rs
+++ b/crates/gladekeel-testkit/src/rules.rs
@@ -89,6 +89,8 @@
     told: BTreeMap<JobId, Told>,
     /// Starts so far.
     pub starts: u64,
+    /// Starts that a machine refused for want of room.
+    pub starts_without_room: u64,
     /// Broken rules, with what was seen.
     pub broken: Vec<(&'static str, String)>,
 }
@@ -114,6 +116,7 @@
             together: BTreeMap::new(),
             told: BTreeMap::new(),
             starts: 0,
+            starts_without_room: 0,
             broken: Vec::new(),
         }
     }
--- a/crates/gladekeel-testkit/src/scenario.rs
+++ b/crates/gladekeel-testkit/src/scenario.rs
@@ -736,6 +736,9 @@
         ["broken", rule] => Ok((!sim.rules.broken.iter().any(|(broken, _)| broken == rule))
             .then(|| format!("{rule} is not broken"))),
         ["starts", rest @ ..] => compare("starts", sim.rules.starts as f64, rest),
+        ["starts_without_room", rest @ ..] => {
+            compare("starts_without_room", sim.rules.starts_without_room as f64, rest)
+        }
         ["cpus", team, rest @ ..] => compare("cpus", sim.rules.cpus_of(team), rest),
         // How often a message met its fault.
         ["answers_lost", rest @ ..] => {
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -744,6 +744,7 @@
                 Happened::Started(task) => {
                     self.rules.started(self.now, &task, name, machine_type, zone, spot);
                 }
+                Happened::NoRoom(_) => self.rules.starts_without_room += 1,
                 Happened::Runs(task, attempt) => self.rules.runs(self.now, &task, attempt),
                 Happened::Ended(task, completed) => {
                     self.rules.ended(&task, name, completed);
--- a/crates/gladekeel-testkit/src/worker.rs
+++ b/crates/gladekeel-testkit/src/worker.rs
@@ -37,6 +37,8 @@
     Runs(TaskId, u64),
     /// A task is no longer on the machine; whether it completed.
     Ended(TaskId, bool),
+    /// A start was refused for want of room.
+    NoRoom(TaskId),
 }
 
 /// A worker.
@@ -261,7 +263,7 @@
         for command in commands {
             match command {
                 Command::Start { task, attempt } => {
-                    self.start(now, task, *attempt, find, &mut lookup);
+                    happened.extend(self.start(now, task, *attempt, find, &mut lookup));
                 }
                 Command::Stop { task, attempt, grace_s } => {
                     for at in lookup.of_attempt(&self.tasks, task, *attempt) {
@@ -289,6 +291,7 @@
         happened
     }
 
+    /// Starts a task; returns that it was refused, if that was for want of room.
     fn start(
         &mut self,
         now: f64,
@@ -296,10 +299,10 @@
         attempt: u64,
         find: &dyn Fn(&TaskId) -> Option<JobSpec>,
         lookup: &mut Lookup,
-    ) {
+    ) -> Option<Happened> {
         let here = lookup.of_task(task);
         if here.iter().any(|at| self.tasks[*at].attempt == attempt) {
-            return;
+            return None;
         }
         self.changed = true;
         let busy = here.iter().any(|at| self.tasks[*at].state != TaskState::Exited);
@@ -311,7 +314,8 @@
             Some(spec) if !fits(spec, free) => Some(Cause::NoRoom),
             Some(_) => None,
         };
-        let Some(spec) = spec.or_else(|| self.any_spec(lookup)) else { return };
+        let no_room = (refused == Some(Cause::NoRoom)).then(|| Happened::NoRoom(task.clone()));
+        let Some(spec) = spec.or_else(|| self.any_spec(lookup)) else { return no_room };
         let (state, until) = if refused.is_some() {
             (TaskState::Exited, f64::MAX)
         } else {
@@ -330,6 +334,7 @@
             saved: None,
             told_at: None,
         });
+        no_room
     }
 
     /// Tells a task to stop; returns that it has ended, if it has at once.
