--- a/crates/gladekeel-testkit/src/gang.rs
+++ b/crates/gladekeel-testkit/src/gang.rs
@@ -10,7 +10,10 @@
     job::{JobSpec, Kind},
     worker::{Cause, TaskState},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 /// What became of a job's attempts.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -56,7 +59,7 @@
 }
 
 /// Where a task is: its index, its machine, its place in the machine's list.
-type Seat = (u32, String, usize);
+type Seat = (u32, Rc<str>, usize);
 
 /// Whether a task takes part in its gang as far as it can tell.
 fn present(task: &Task) -> bool {
@@ -82,15 +85,21 @@
     ) -> Vec<(String, Happened)> {
         let mut seats: BTreeMap<(JobId, u64), Vec<Seat>> = BTreeMap::new();
         for (name, worker) in workers.iter() {
-            for (at, task) in worker.tasks.iter().enumerate() {
-                if task.spec.kind != Kind::Gang {
-                    continue;
-                }
-                let job = self.jobs.entry(task.task.job.clone()).or_default();
-                job.attempts.insert(task.attempt);
-                if present(task) {
-                    let key = (task.task.job.clone(), task.attempt);
-                    seats.entry(key).or_default().push((task.task.index, name.clone(), at));
+            let name: Rc<str> = name.as_str().into();
+            let gangs = worker.tasks.iter().enumerate();
+            let gangs: Vec<_> = gangs.filter(|(_, task)| task.spec.kind == Kind::Gang).collect();
+            // Tasks of an attempt mostly lie together: they are noted together.
+            let same = |a: &Task, b: &Task| a.attempt == b.attempt && a.task.job == b.task.job;
+            for attempt in gangs.chunk_by(|(_, a), (_, b)| same(a, b)) {
+                let Some((_, first)) = attempt.first() else { continue };
+                let job = self.jobs.entry(first.task.job.clone()).or_default();
+                job.attempts.insert(first.attempt);
+                let present = attempt.iter().filter(|(_, task)| present(task));
+                let here = present.map(|(at, task)| (task.task.index, name.clone(), *at));
+                let mut here = here.peekable();
+                if here.peek().is_some() {
+                    let key = (first.task.job.clone(), first.attempt);
+                    seats.entry(key).or_default().extend(here);
                 }
             }
         }
@@ -100,7 +109,7 @@
             let here = seats.remove(&key).unwrap_or_default();
             let (waiting, running): (Vec<Seat>, Vec<Seat>) = here
                 .into_iter()
-                .partition(|(_, name, at)| workers[name].tasks[*at].state == TaskState::Waiting);
+                .partition(|(_, name, at)| workers[&**name].tasks[*at].state == TaskState::Waiting);
             if self.runs.contains_key(&key) {
                 self.go_on(now, &key, &running, workers, &mut happened);
             }
@@ -120,9 +129,10 @@
         workers: &mut BTreeMap<String, Worker>,
         happened: &mut Vec<(String, Happened)>,
     ) {
-        let awake: Vec<&Seat> = waiting.iter().filter(|(_, name, _)| !workers[name].hung).collect();
+        let awake: Vec<&Seat> =
+            waiting.iter().filter(|(_, name, _)| !workers[&**name].hung).collect();
         let Some((_, name, at)) = awake.first() else { return };
-        let spec = workers[name].tasks[*at].spec.clone();
+        let spec = workers[&**name].tasks[*at].spec.clone();
         let job = self.jobs.entry(key.0.clone()).or_default();
         if job.done {
             // The result is kept: whoever comes later has nothing left to do.
@@ -138,7 +148,7 @@
         job.runs += 1;
         let progress_s = job.kept_s;
         for (_, name, at) in awake {
-            let Some(worker) = workers.get_mut(name) else { continue };
+            let Some(worker) = workers.get_mut(&**name) else { continue };
             let fails = worker.sick || spec.class == "faulty";
             worker.changed = true;
             let task = &mut worker.tasks[*at];
@@ -146,7 +156,7 @@
             task.until = if fails { now + 0.5 } else { f64::MAX };
             task.cause = fails.then_some(Cause::Error);
             let what = Happened::Runs(task.task.clone(), task.attempt);
-            happened.push((name.clone(), what));
+            happened.push((name.to_string(), what));
         }
         let run = Run { at: now, progress_s, halted_at: None, safe: false, broken_at: None };
         self.runs.insert(key.clone(), run);
@@ -173,11 +183,11 @@
             }
             return;
         };
-        let spec = workers[name].tasks[*at].spec.clone();
-        let told = |(_, name, at): &Seat| workers[name].tasks[*at].told_at;
+        let spec = workers[&**name].tasks[*at].spec.clone();
+        let told = |(_, name, at): &Seat| workers[&**name].tasks[*at].told_at;
         let first = running.iter().filter_map(told).min_by(f64::total_cmp);
         run.halted_at = run.halted_at.or(first);
-        let hung = running.iter().any(|(_, name, _)| workers[name].hung);
+        let hung = running.iter().any(|(_, name, _)| workers[&**name].hung);
         let whole = running.len() == spec.tasks as usize && !hung;
 
         if run.broken_at.is_none() && !run.safe {
@@ -185,7 +195,7 @@
             // counted up to the last step that saw all of them.
             let until = run.halted_at.map_or(now, |halted| halted.min(now));
             if whole && until > run.at {
-                let slowest = running.iter().map(|(_, name, _)| workers[name].slow);
+                let slowest = running.iter().map(|(_, name, _)| workers[&**name].slow);
                 run.progress_s += (until - run.at) / slowest.fold(1.0, f64::max);
             }
             run.at = now;
@@ -200,7 +210,7 @@
             for (index, name, at) in running {
                 let part = f64::from(*index + 1) / f64::from(spec.tasks);
                 let notices_at = broken_at + self.peer_s * (0.25 + 0.7 * part);
-                if now >= notices_at && !workers[name].hung {
+                if now >= notices_at && !workers[&**name].hung {
                     exit(workers, name, *at, Cause::PeersGone, None, happened);
                 }
             }
@@ -213,7 +223,7 @@
             let all_saved =
                 all_told && running.iter().all(|s| saved_at(s).is_some_and(|t| t <= now));
             let mut leave = Vec::new();
-            for seat in running.iter().filter(|(_, name, _)| !workers[name].hung) {
+            for seat in running.iter().filter(|(_, name, _)| !workers[&**name].hung) {
                 let saved = saved_at(seat).is_some_and(|saved| saved <= now);
                 if all_told {
                     if saved && (all_saved || run.safe || now >= late_at) {
