--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/attempt.rs
@@ -0,0 +1,69 @@
+//! A task on a machine, from its proposal to the commit of its release.
+
+pub use crate::log::End as Outcome;
+use gladekeel_sched::Room;
+use gladekeel_wire::worker::TaskState;
+
+/// How far an attempt's assignment is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, not committed: no `run` may be sent.
+    Proposed,
+    /// In the committed log: it may be on its machine.
+    Live,
+    /// Proved to be off its machine; the log does not say so yet.
+    Releasing(Outcome),
+}
+
+/// Why an attempt is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopWhy {
+    /// The job is cancelled.
+    Cancelled,
+    /// To make room.
+    Preempted,
+    /// It is slow and starts anew elsewhere.
+    Slow,
+    /// The machine is going away.
+    Drained,
+    /// Another task of its gang is gone, and what has not been saved is lost.
+    Regroup,
+    /// Its gang was not complete in time. A fetch goes on to its end, so that the next
+    /// attempt finds the image; stopped before, the gang might never meet.
+    Incomplete,
+}
+
+/// A task on a machine.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The job.
+    pub job: u32,
+    /// The task's number.
+    pub index: u32,
+    /// The machine.
+    pub machine: u32,
+    /// The machine's zone, as far as known.
+    pub zone: Option<u32>,
+    /// The machine's session.
+    pub session: u64,
+    /// How far the assignment is.
+    pub phase: Phase,
+    /// What the worker last said of it under this token.
+    pub seen: Option<TaskState>,
+    /// When it was first seen running.
+    pub run_since: Option<f64>,
+    /// Why it should stop, if it should.
+    pub stop: Option<StopWhy>,
+    /// How often the stop was sent.
+    pub stop_sent: u32,
+    /// Whether its start was sent directly.
+    pub sent: bool,
+    /// What it takes.
+    pub room: Room,
+    /// Its image.
+    pub image: u32,
+    /// Whether an earlier token placed it: how long it has run is not known then.
+    pub restored: bool,
+    /// The newest segment of the log that assigns it.
+    pub logged: u64,
+}
--- a/crates/gladekeel-controller/src/leader/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/attempts.rs
@@ -4,7 +4,7 @@
 //! is being stopped, is asked whenever one of its tasks ends, so these answers are kept
 //! up to date with each change of an attempt instead of being worked out from all of them.
 
-use super::model::{Attempt, Phase};
+use super::attempt::{Attempt, Phase};
 use gladekeel_wire::worker::TaskState;
 use std::{
     cell::Cell,
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/catalog.rs
@@ -0,0 +1,62 @@
+//! Names of teams, zones, machine types and images, as indices.
+
+use gladekeel_sched::{Interner, Room};
+use gladekeel_wire::{
+    cloud::{MachineType, MachineTypes},
+    settings::Params,
+};
+/// Names of teams, zones, types and images, as indices.
+#[derive(Debug, Default)]
+pub(super) struct Catalog {
+    pub teams: Interner<String>,
+    pub zones: Interner<String>,
+    pub kinds: Interner<String>,
+    pub images: Interner<String>,
+    /// By kind; none for kinds that jobs name but the cloud does not.
+    pub types: Vec<Option<MachineType>>,
+}
+
+impl Catalog {
+    /// Gets ready for a new token. Names keep their indices, since what is known of machines
+    /// goes on and speaks of kinds, zones and images by them.
+    pub fn renew(&mut self, params: &Params, types: Option<&MachineTypes>) {
+        for team in &params.teams {
+            self.teams.intern(&team.name);
+        }
+        for zone in &params.zones {
+            self.zones.intern(zone);
+        }
+        self.types.fill(None);
+        if let Some(types) = types {
+            self.learn(types);
+        }
+    }
+
+    pub fn learn(&mut self, types: &MachineTypes) {
+        for machine_type in &types.types {
+            let kind = self.kind(&machine_type.name);
+            self.types[kind as usize] = Some(machine_type.clone());
+            for zone in &machine_type.zones {
+                self.zones.intern(zone);
+            }
+        }
+    }
+
+    pub fn kind(&mut self, name: &str) -> u32 {
+        let kind = self.kinds.intern(&name.to_owned());
+        if self.types.len() <= kind as usize {
+            self.types.resize(kind as usize + 1, None);
+        }
+        kind
+    }
+
+    /// A kind's type, if the cloud has it.
+    pub fn machine_type(&self, kind: u32) -> Option<&MachineType> {
+        self.types.get(kind as usize)?.as_ref()
+    }
+
+    /// What a machine of this kind offers.
+    pub fn room(&self, kind: u32) -> Option<Room> {
+        self.machine_type(kind).map(|t| Room::offered(t.cpus, t.gpus, t.memory_gb))
+    }
+}
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -4,17 +4,22 @@
 //! what has been committed of it, and workers' reports say what is. Every step
 //! follows the rules of `docs/safety.md`.
 
+mod attempt;
 mod attempts;
+mod catalog;
 mod commit;
 mod direct;
 mod fleet;
-mod model;
+mod job;
+mod machine;
 mod report;
 mod rounds;
 mod standby;
 
+pub use attempt::{Attempt, Phase, StopWhy};
 pub use direct::{DirectCall, DirectOutcome};
-pub use model::{Attempt, Job, Machine, Phase, StopWhy};
+pub use job::Job;
+pub use machine::Machine;
 
 use crate::{
     cloud::{CloudCall, CloudOutcome},
@@ -23,7 +28,9 @@
     sockets::Sockets,
     world::{Counts as Display, World},
 };
+use attempt::Outcome;
 use attempts::Attempts;
+use catalog::Catalog;
 use commit::Commits;
 pub use commit::LogRow;
 use fleet::Fleet;
@@ -32,7 +39,6 @@
     JobId, admin::MachineStatus, cloud::MachineTypes, job::MAX_TASKS, settings::Params, state::Txn,
     worker::TaskReport,
 };
-use model::{Catalog, Outcome};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,9 +1,6 @@
 //! Workers' reports and the commands that answer them.
 
-use super::{
-    Job, Leader, Machine, Phase, StopWhy,
-    model::{Awaited, Outcome},
-};
+use super::{Job, Leader, Machine, Phase, StopWhy, attempt::Outcome, machine::Awaited};
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
 use gladekeel_wire::{TaskId, job::Kind};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,6 +1,6 @@
 //! A round of decisions: restarts, placements, preemption.
 
-use super::{Attempt, Job, Leader, Phase, StopWhy, model::Outcome};
+use super::{Attempt, Job, Leader, Phase, StopWhy, attempt::Outcome};
 use crate::options::Options;
 use gladekeel_sched::{
     place,
