Leader: the fleet is split into requests, sizing, liveness and spending

Requests to the cloud, the demand for machines, and machines kept for gangs now are types of their own with private fields; which machines are dead and what is spent have a module each. A tuple of type, zone and spot became Pool.

--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/cloud_calls.rs
@@ -0,0 +1,356 @@
+//! Requests to the cloud: rentals, deletions, the list of machines and their types.
+//!
+//! What should be rented or returned is decided elsewhere; this module asks for it.
+
+use super::{Leader, Machine};
+use crate::cloud::{CloudCall, CloudOutcome};
+use gladekeel_wire::cloud::{
+    MAX_DELETE, MAX_LIST, MAX_RENT, MachineList, MachineRow, MachineState, MachineTypes, Rent,
+};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// How long the names of deleted machines are remembered, against late reports and lists.
+const TOMBSTONE_S: f64 = 600.0;
+/// How long a type, zone and kind without capacity is left alone.
+const NO_CAPACITY_S: f64 = 12.0;
+/// How often prices are read.
+const TYPES_EVERY_S: f64 = 60.0;
+
+/// Machines of one type and zone, spot or not: what a rental asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct Pool {
+    /// The type.
+    pub kind: u32,
+    /// The zone.
+    pub zone: u32,
+    /// Spot or not.
+    pub spot: bool,
+}
+
+/// A rental that has no final answer yet.
+#[derive(Debug)]
+struct Rental {
+    rent: Rent,
+    pool: Pool,
+    in_flight: bool,
+    /// Not repeated before this time.
+    not_before: f64,
+}
+
+/// Requests to the cloud, under way and to be made, and what their answers told.
+#[derive(Debug, Default)]
+pub(super) struct CloudCalls {
+    deleted: HashMap<String, f64>,
+    /// The same in order, to forget the oldest ones.
+    deleted_order: VecDeque<String>,
+    empty_until: HashMap<Pool, f64>,
+    /// Rentals under way or to be repeated, since they had no answer.
+    rents: Vec<Rental>,
+    /// Rentals decided and not yet asked for.
+    wanted: Vec<(Pool, u32)>,
+    /// Kinds of requests under way.
+    in_flight: BTreeSet<u8>,
+    types_at: Option<f64>,
+    delete_at: Option<f64>,
+    /// Pages of the last list.
+    pages: u32,
+    list_at: Option<f64>,
+    list: Vec<MachineRow>,
+    counter: u64,
+    not_before: f64,
+}
+
+/// Rentals under way at once.
+const MAX_RENTALS: usize = 4;
+/// Time between deletions, so that they leave calls for rentals.
+const DELETE_EVERY_S: f64 = 0.5;
+
+const TYPES: u8 = 0;
+const DELETE: u8 = 2;
+const LIST: u8 = 3;
+
+/// Requests of which one is under way at a time.
+fn lane(call: &CloudCall) -> Option<u8> {
+    match call {
+        CloudCall::Types => Some(TYPES),
+        CloudCall::Rent(_) => None,
+        CloudCall::Delete(_) => Some(DELETE),
+        CloudCall::List { .. } => Some(LIST),
+    }
+}
+
+impl CloudCalls {
+    /// Whether the machine was deleted for certain.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.deleted.contains_key(name)
+    }
+
+    /// Whether rentals of these machines may succeed, as far as the last answers tell.
+    pub fn may_have_capacity(&self, pool: Pool, now: f64) -> bool {
+        self.empty_until.get(&pool).is_none_or(|until| now >= *until)
+    }
+
+    /// Rentals that have no final answer yet, with how many machines they ask for.
+    pub fn open_rentals(&self) -> impl Iterator<Item = (Pool, u32)> {
+        self.rents.iter().map(|rental| (rental.pool, rental.rent.count))
+    }
+
+    /// Machines to rent as soon as requests allow it.
+    pub fn want(&mut self, pool: Pool, count: u32) {
+        self.wanted.push((pool, count));
+    }
+
+    /// Drops what was wanted and not asked for yet: it is decided anew.
+    pub fn clear_wanted(&mut self) {
+        self.wanted.clear();
+    }
+
+    /// Forgets deletions of which no late report or list will speak any more.
+    pub fn forget_old_deletions(&mut self, now: f64) {
+        while let Some(name) = self.deleted_order.front()
+            && self.deleted.get(name).is_none_or(|at| now - *at >= TOMBSTONE_S)
+        {
+            self.deleted.remove(name);
+            self.deleted_order.pop_front();
+        }
+    }
+}
+
+impl Leader {
+    pub(super) fn next_cloud_call(&mut self, now: f64) -> Option<CloudCall> {
+        if now < self.know.cloud.not_before {
+            return None;
+        }
+        let cloud = &mut self.know.cloud;
+        // Long lists are read less often: they would use up the calls.
+        let list_s =
+            self.params.cloud.list_lag_s.max(2.0) + 2.0 * f64::from(cloud.pages.max(1) - 1);
+        let due = |at: Option<f64>, every: f64| at.is_none_or(|at| now - at >= every);
+        let call = if due(cloud.types_at, TYPES_EVERY_S) && !cloud.in_flight.contains(&TYPES) {
+            CloudCall::Types
+        } else if !cloud.in_flight.contains(&DELETE)
+            && due(cloud.delete_at, DELETE_EVERY_S)
+            && let Some(names) = self.next_deletion()
+        {
+            self.know.cloud.delete_at = Some(now);
+            CloudCall::Delete(names)
+        } else if let Some(rent) = self.next_rent(now) {
+            CloudCall::Rent(rent)
+        } else if !self.know.cloud.in_flight.contains(&LIST)
+            && (!self.know.cloud.list.is_empty() || due(self.know.cloud.list_at, list_s))
+        {
+            CloudCall::List { after: self.know.cloud.list.last().map(|row| row.name.clone()) }
+        } else {
+            return None;
+        };
+        self.know.cloud.in_flight.extend(lane(&call));
+        Some(call)
+    }
+
+    /// The next machines to delete, if any, those with work first; marks that the
+    /// request goes out.
+    fn next_deletion(&mut self) -> Option<Vec<String>> {
+        let wanted = |ix: &u32| {
+            let machine = self.know.machines.get(ix)?;
+            (machine.delete.is_some() && !machine.gone)
+                .then_some((machine.attempts.is_empty(), *ix))
+        };
+        let mut wanted: Vec<(bool, u32)> = self.know.leaving.iter().filter_map(wanted).collect();
+        wanted.sort_unstable();
+        let mut names = Vec::new();
+        for (_, ix) in wanted.into_iter().take(MAX_DELETE) {
+            if let Some(machine) = self.know.machines.get_mut(&ix) {
+                machine.delete_sent = true;
+                names.push(machine.name.clone());
+            }
+        }
+        (!names.is_empty()).then_some(names)
+    }
+
+    fn next_rent(&mut self, now: f64) -> Option<Rent> {
+        let cloud = &mut self.know.cloud;
+        // Without an answer the very same request is repeated: it may have been
+        // carried out, and then the repeat gets the same machines.
+        let again = |rental: &&mut Rental| !rental.in_flight && now >= rental.not_before;
+        if let Some(rental) = cloud.rents.iter_mut().find(again) {
+            rental.in_flight = true;
+            return Some(rental.rent.clone());
+        }
+        while cloud.rents.len() < MAX_RENTALS {
+            let (pool, count) = cloud.wanted.pop()?;
+            if count == 0 || !cloud.may_have_capacity(pool, now) {
+                continue;
+            }
+            if count > MAX_RENT {
+                cloud.want(pool, count - MAX_RENT);
+            }
+            cloud.counter += 1;
+            let rent = Rent {
+                // Token, counter and the node's own random number: never used twice.
+                request: format!("gk-{}-{}-{:08x}", self.token, cloud.counter, self.salt as u32),
+                machine_type: self.catalog.kinds.name(pool.kind).clone(),
+                zone: self.catalog.zones.name(pool.zone).clone(),
+                spot: pool.spot,
+                count: count.min(MAX_RENT),
+            };
+            cloud.rents.push(Rental { rent: rent.clone(), pool, in_flight: true, not_before: 0.0 });
+            return Some(rent);
+        }
+        None
+    }
+
+    /// Takes a rental off the list of those that have no final answer.
+    fn rental(&mut self, rent: &Rent) -> Option<Rental> {
+        let rents = &mut self.know.cloud.rents;
+        let at = rents.iter().position(|rental| rental.rent.request == rent.request)?;
+        Some(rents.swap_remove(at))
+    }
+
+    pub(super) fn on_cloud(&mut self, now: f64, call: &CloudCall, outcome: CloudOutcome) {
+        if let Some(lane) = lane(call) {
+            self.know.cloud.in_flight.remove(&lane);
+        }
+        match (call, outcome) {
+            (CloudCall::Types, CloudOutcome::Types(types)) => self.on_types(now, types),
+            (CloudCall::Rent(rent), CloudOutcome::Rented(names)) => {
+                self.on_rented(now, rent, names)
+            }
+            (CloudCall::Rent(rent), CloudOutcome::NoCapacity | CloudOutcome::Bad) => {
+                if let Some(rental) = self.rental(rent) {
+                    self.know.cloud.empty_until.insert(rental.pool, now + NO_CAPACITY_S);
+                }
+            }
+            (CloudCall::Rent(rent), outcome) => {
+                let wait_s = if outcome == CloudOutcome::Busy { 0.5 } else { 1.0 };
+                self.know.cloud.not_before = now + wait_s;
+                let request = &rent.request;
+                let rents = &mut self.know.cloud.rents;
+                if let Some(rental) = rents.iter_mut().find(|r| r.rent.request == *request) {
+                    rental.in_flight = false;
+                    rental.not_before = now + wait_s;
+                }
+            }
+            (CloudCall::Delete(names), CloudOutcome::Deleted) => self.on_deleted(now, names),
+            (CloudCall::List { .. }, CloudOutcome::List(page)) => self.on_list(now, page),
+            (CloudCall::List { .. }, _) => {
+                self.know.cloud.list.clear();
+                self.know.cloud.list_at = Some(now);
+            }
+            (CloudCall::Types, _) => {
+                self.know.cloud.types_at = Some(now - TYPES_EVERY_S + 2.0);
+            }
+            (_, CloudOutcome::Busy) => self.know.cloud.not_before = now + 0.5,
+            _ => self.know.cloud.not_before = now + 1.0,
+        }
+    }
+
+    fn on_types(&mut self, now: f64, types: MachineTypes) {
+        self.know.cloud.types_at = Some(now);
+        let first = self.catalog.kinds.is_empty();
+        let stable = |t: &gladekeel_wire::cloud::MachineType| {
+            let mut t = t.clone();
+            t.spot_price = None;
+            t
+        };
+        // Prices move all the time; the store has what a restarted node must know.
+        let changed = types.types.iter().any(|t| {
+            let known = self.catalog.kinds.get(t.name.as_str());
+            let known = known.and_then(|kind| self.catalog.machine_type(kind));
+            known.map(stable) != Some(stable(t))
+        });
+        if first || changed {
+            self.commits.types = Some(types.clone());
+        }
+        self.catalog.learn(&types);
+        self.round_wanted = true;
+    }
+
+    fn on_rented(&mut self, now: f64, rent: &Rent, names: Vec<String>) {
+        let Some(Rental { pool, .. }) = self.rental(rent) else { return };
+        tracing::info!(
+            kind = rent.machine_type,
+            zone = rent.zone,
+            spot = rent.spot,
+            asked = rent.count,
+            got = names.len(),
+            "rented"
+        );
+        if names.len() < rent.count as usize {
+            self.know.cloud.empty_until.insert(pool, now + NO_CAPACITY_S);
+        }
+        for name in names {
+            self.know.counts.rented += 1;
+            let ix = self.know.machine_names.intern(&name);
+            let machine = self.know.machines.entry(ix).or_insert_with(|| Machine::new(&name, now));
+            machine.kind = Some(pool.kind);
+            machine.spot = pool.spot;
+            machine.vouched = true;
+            self.learn_zone(ix, pool.zone);
+        }
+    }
+
+    fn on_deleted(&mut self, now: f64, names: &[String]) {
+        for name in names {
+            let Some(ix) = self.know.machine_names.get(name.as_str()) else { continue };
+            let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
+            machine.gone = true;
+            self.know.counts.deleted += 1;
+            self.know.cloud.deleted.insert(name.clone(), now);
+            self.know.cloud.deleted_order.push_back(name.clone());
+        }
+        self.round_wanted = true;
+        self.watch_machines(now);
+    }
+
+    fn on_list(&mut self, now: f64, page: MachineList) {
+        self.know.cloud.list.extend(page.machines);
+        if page.more {
+            return;
+        }
+        self.know.cloud.list_at = Some(now);
+        self.know.cloud.pages = self.know.cloud.list.len().div_ceil(MAX_LIST) as u32;
+        let rows = std::mem::take(&mut self.know.cloud.list);
+        let mut listed = BTreeSet::new();
+        for row in rows {
+            if self.know.cloud.is_gone(&row.name) {
+                continue;
+            }
+            let ix = self.know.machine_names.intern(&row.name);
+            listed.insert(ix);
+            let machine = self.know.machines.entry(ix).or_insert_with(|| {
+                tracing::info!(machine = row.name, "adopted from the list");
+                let mut machine = Machine::new(&row.name, now);
+                machine.born = now - row.age_s;
+                machine
+            });
+            machine.kind = Some(self.catalog.kind(&row.machine_type));
+            machine.spot = row.spot;
+            machine.listed = true;
+            machine.vouched = true;
+            if machine.addr.is_none() {
+                machine.addr = row.addr;
+            }
+            machine.missing = 0;
+            machine.list_state = Some(row.state);
+            if row.state == MachineState::Failed && machine.delete.is_none() {
+                machine.delete = Some("failed");
+                self.know.leaving.insert(ix);
+            }
+            let zone = self.catalog.zones.intern(&row.zone);
+            self.learn_zone(ix, zone);
+        }
+        let late_s = self.params.workers.late_s();
+        for (ix, machine) in &mut self.know.machines {
+            // One that only the log tells of was up before this leader began.
+            let was_listed = machine.listed || machine.born == f64::NEG_INFINITY;
+            if was_listed && !listed.contains(ix) && now - machine.quiet_since > late_s {
+                // Lists may be older than the one before: one of them proves little.
+                machine.missing += 1;
+                if machine.missing >= 2 && machine.delete.is_none() {
+                    machine.delete = Some("no longer listed");
+                    self.know.leaving.insert(*ix);
+                }
+            }
+        }
+    }
+}
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -7,19 +7,23 @@
 mod attempt;
 mod attempts;
 mod catalog;
+mod cloud_calls;
 mod commit;
 mod direct;
-mod fleet;
 mod job;
+mod liveness;
 mod machine;
 mod report;
 mod rounds;
+mod sizing;
+mod spend;
 mod standby;
 
 pub use attempt::{Attempt, Phase, StopWhy};
 pub use direct::{DirectCall, DirectOutcome};
 pub use job::Job;
 pub use machine::Machine;
+pub use spend::Spend;
 
 use crate::{
     cloud::{CloudCall, CloudOutcome},
@@ -31,14 +35,16 @@
 use attempt::Outcome;
 use attempts::Attempts;
 use catalog::Catalog;
+use cloud_calls::CloudCalls;
 use commit::Commits;
 pub use commit::LogRow;
-use fleet::Fleet;
 use gladekeel_sched::{Interner, Room, place::Team};
 use gladekeel_wire::{
     JobId, admin::MachineStatus, cloud::MachineTypes, job::MAX_TASKS, settings::Params, state::Txn,
     worker::TaskReport,
 };
+use sizing::Demand;
+use standby::Standby;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
@@ -88,21 +94,6 @@
     pub spend: Spend,
 }
 
-/// Money by what machines were doing; parts of a machine count as parts.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
-pub struct Spend {
-    /// Not up yet.
-    pub boot: f64,
-    /// Up without any work.
-    pub idle: f64,
-    /// Room left over beside work.
-    pub gaps: f64,
-    /// Assigned, not running yet: on the way, fetching.
-    pub waiting: f64,
-    /// Running.
-    pub running: f64,
-}
-
 /// What the leader knows besides what is in the store. It outlives a change of
 /// token, and is rebuilt from reports and lists by a new leader.
 #[derive(Debug, Default)]
@@ -113,13 +104,32 @@
     machines: BTreeMap<u32, Machine>,
     /// Machines that may be on their way out; [`Machine::leaving`] says which are.
     leaving: BTreeSet<u32>,
-    fleet: Fleet,
+    cloud: CloudCalls,
+    demand: Demand,
+    standby: Standby,
+    /// Since when each zone has been within reach.
+    reached_since: BTreeMap<Option<u32>, f64>,
     /// Run time over the owner's estimate, learned by class.
     ratios: HashMap<String, f64>,
     /// Counters.
     pub counts: Counts,
 }
 
+impl Knowledge {
+    /// The same leader under a new token. It has heard reports all the while, so
+    /// silence goes on to count.
+    fn renew(&mut self) {
+        for machine in self.machines.values_mut() {
+            machine.attempts.clear();
+            machine.used = Default::default();
+            machine.awaited = Default::default();
+            // Nothing under an older token can start once the worker has seen this one.
+            machine.open_starts.clear();
+            machine.direct_flying = false;
+        }
+    }
+}
+
 /// A zone as the leader hears it.
 #[derive(Debug, Default)]
 struct ZoneView {
@@ -743,7 +753,7 @@
         if let Some(machine) = ix.and_then(|ix| self.know.machines.get_mut(&ix)) {
             machine.drained = wanted;
             self.know.leaving.extend(ix);
-        } else if wanted && self.know.fleet.is_gone(name) {
+        } else if wanted && self.know.cloud.is_gone(name) {
             self.commits.drains.insert(name.to_owned());
         }
     }
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -16,7 +16,7 @@
     /// Takes in who a report is from and how the machine is; tells which it is, if the
     /// report is newer than all that was heard of it.
     pub(super) fn learn_report(&mut self, now: f64, report: &Report) -> Option<u32> {
-        if self.know.fleet.is_gone(&report.machine) {
+        if self.know.cloud.is_gone(&report.machine) {
             return None;
         }
         let ix = self.know.machine_names.intern(&report.machine);
--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -0,0 +1,281 @@
+//! How many machines of each type there should be, which to rent and which to return.
+
+use super::{Job, Leader, cloud_calls::Pool};
+use crate::options::Options;
+use gladekeel_sched::{
+    Room,
+    fleet::{Flow, Need, Sizer, Supply},
+};
+use std::collections::{BTreeMap, HashMap};
+
+/// How long work that came tells of what will come.
+const ARRIVALS_S: f64 = 60.0;
+
+/// What unfinished jobs and those that came lately ask of the fleet.
+#[derive(Debug, Default)]
+pub(super) struct Demand {
+    /// By type, for all its machines and for its ordinary ones alone.
+    sizers: HashMap<(u32, bool), Sizer>,
+    /// Work that came lately, by type and class, and as of when.
+    arrived: BTreeMap<(u32, String), Flow>,
+    arrived_at: f64,
+}
+
+impl Demand {
+    /// Lets what came count less the longer ago it was.
+    fn fade(&mut self, now: f64) {
+        let weight = (-(now - self.arrived_at).max(0.0) / ARRIVALS_S).exp();
+        self.arrived_at = now;
+        self.arrived.values_mut().for_each(|flow| flow.machines *= weight);
+    }
+}
+
+impl Leader {
+    /// Decides which machines to rent and which to return.
+    pub(super) fn size_fleet(&mut self, now: f64, options: &Options) {
+        self.know.cloud.forget_old_deletions(now);
+        let gone = self.know.leaving.iter().copied().filter(|ix| {
+            self.know.machines.get(ix).is_some_and(|m| m.gone && m.attempts.is_empty())
+        });
+        for ix in gone.collect::<Vec<_>>() {
+            self.know.machines.remove(&ix);
+            self.know.leaving.remove(&ix);
+        }
+        self.know.cloud.clear_wanted();
+        self.know.demand.fade(now);
+        let mut needs = self.needs(now);
+        for kind in 0..self.catalog.types.len() as u32 {
+            let needs = needs.remove(&kind).unwrap_or_default();
+            self.size_kind(now, options, kind, &needs);
+        }
+    }
+
+    /// A job has just come.
+    pub(super) fn count_arrival(&mut self, ix: u32) {
+        let Some(job) = self.jobs.get(&ix) else { return };
+        let Some((kind, fits)) = self.kind_for(job) else { return };
+        let run_s = self.expected_run(job);
+        let work = f64::from(job.spec.tasks) / f64::from(fits) * run_s;
+        let due_s = job.due_s(&self.params, run_s);
+        let class = job.spec.class.clone();
+        let flow = self.know.demand.arrived.entry((kind, class)).or_default();
+        let total = (flow.machines + work).max(1e-9);
+        // Classes' due times differ from job to job: the mean by work.
+        flow.due_s += (due_s - flow.due_s) * work / total;
+        flow.machines = total;
+        self.count_gang(ix, kind, work, fits);
+    }
+
+    /// What unfinished jobs need, by machine type; with it whether they may use
+    /// spot machines.
+    fn needs(&self, now: f64) -> BTreeMap<u32, Vec<(bool, Need)>> {
+        let mut needs: BTreeMap<u32, Vec<(bool, Need)>> = BTreeMap::new();
+        let mut left: Vec<_> = self.teams.iter().map(|team| team.limit).collect();
+        for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
+            let Some((kind, fits)) = self.kind_for(job) else { continue };
+            let allowed = job.room.times_in(
+                Room { memory: i64::MAX / 4, ..left[job.team as usize] },
+                job.remaining(),
+            );
+            left[job.team as usize] -= job.room * i64::from(allowed);
+            let running = (self.attempts.of_job(*ix).len() as u32).min(allowed);
+            let pending = if now < job.hold_until { 0 } else { allowed - running };
+            let run_s = self.expected_run(job);
+            let need = Need {
+                pending: f64::from(pending) / f64::from(fits),
+                running: f64::from(running) / f64::from(fits),
+                run_s,
+                left_s: job.due_s(&self.params, run_s) - (now - job.known_at),
+                together: job.is_gang(),
+            };
+            needs.entry(kind).or_default().push((job.spec.spot, need));
+        }
+        needs
+    }
+
+    /// How long a machine fetches the job's image.
+    pub(super) fn fetch_s(&self, job: &Job) -> f64 {
+        let rate = self
+            .kind_for(job)
+            .and_then(|(kind, _)| self.catalog.machine_type(kind))
+            .map_or(1.0, |t| t.fetch_gb_per_s);
+        job.spec.image_gb / rate.max(0.01)
+    }
+
+    /// How long a task of the job runs: the owner's estimate, put right by what
+    /// its class has shown.
+    pub(super) fn expected_run(&self, job: &Job) -> f64 {
+        let ratio = self.know.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
+        (job.spec.estimate_s * ratio).max(1.0)
+    }
+
+    /// The type on which a job's tasks cost least, and how many fit on one.
+    fn kind_for(&self, job: &Job) -> Option<(u32, u32)> {
+        let fitting = |kind: u32| -> Option<(f64, u32, u32)> {
+            let machine_type = self.catalog.machine_type(kind)?;
+            let fits = job.room.times_in(self.catalog.room(kind)?, 1000);
+            let zone_fits = job
+                .zone
+                .is_none_or(|zone| machine_type.zones.contains(self.catalog.zones.name(zone)));
+            (fits > 0 && zone_fits).then(|| (machine_type.price / f64::from(fits), kind, fits))
+        };
+        let all: Vec<u32> = (0..self.catalog.types.len() as u32).collect();
+        job.kinds
+            .as_ref()
+            .unwrap_or(&all)
+            .iter()
+            .filter_map(|kind| fitting(*kind))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, kind, fits)| (kind, fits))
+    }
+
+    /// What there is of a type, and of its ordinary machines alone.
+    fn supply(&self, now: f64, kind: u32, boot_s: f64, silent_s: f64) -> (Supply, Supply) {
+        let (mut any, mut ordinary) = (Supply::default(), Supply::default());
+        for machine in self.know.machines.values() {
+            if machine.kind != Some(kind) || machine.leaving() {
+                continue;
+            }
+            let age = now - machine.born;
+            for supply in [Some(&mut any), (!machine.spot).then_some(&mut ordinary)] {
+                let Some(supply) = supply else { continue };
+                if machine.heard_at.is_some()
+                    || (machine.was_up()
+                        && (now - machine.quiet_since < silent_s
+                            || machine.zone.is_some_and(|zone| self.is_quiet(zone, now))))
+                {
+                    supply.up += 1.0;
+                } else if !machine.was_up() && age <= boot_s * 1.6 + 5.0 {
+                    // One that boots unusually long is no longer counted on.
+                    supply.booting.push((boot_s - age).max(5.0));
+                }
+            }
+        }
+        for (pool, count) in self.know.cloud.open_rentals() {
+            if pool.kind == kind {
+                let booting = vec![boot_s; count as usize];
+                any.booting.extend(&booting);
+                if !pool.spot {
+                    ordinary.booting.extend(&booting);
+                }
+            }
+        }
+        (any, ordinary)
+    }
+
+    fn size_kind(&mut self, now: f64, options: &Options, kind: u32, needs: &[(bool, Need)]) {
+        let Some(machine_type) = self.catalog.machine_type(kind) else { return };
+        let boot_s = machine_type.boot_s;
+        let zones: Vec<u32> = machine_type
+            .zones
+            .iter()
+            .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
+            .collect();
+        let may_spot = machine_type.spot_price.is_some();
+        let (supply, supply_ordinary) = self.supply(now, kind, boot_s, options.silent_s);
+        let all: Vec<Need> = needs.iter().map(|(_, need)| *need).collect();
+        let no_spot: Vec<Need> =
+            needs.iter().filter(|(spot, _)| !spot).map(|(_, need)| *need).collect();
+        let demand = &mut self.know.demand;
+        let flows: Vec<Flow> = demand
+            .arrived
+            .iter()
+            .filter(|((of, _), _)| *of == kind)
+            .map(|(_, flow)| Flow { machines: flow.machines / ARRIVALS_S, ..*flow })
+            .collect();
+        let mut plan = |ordinary: bool, needs: &[Need], supply: &Supply| {
+            let sizer = demand.sizers.entry((kind, ordinary)).or_default();
+            let flows = if ordinary { &[] } else { flows.as_slice() };
+            sizer.plan(now, needs, supply, flows, boot_s, &options.sizing)
+        };
+        let any = plan(false, &all, &supply);
+        let mut ordinary = plan(true, &no_spot, &supply_ordinary);
+        let standby = self.know.standby.wanted(kind);
+        ordinary.need = ordinary.need.max(f64::from(standby));
+        tracing::debug!(
+            kind,
+            up = supply.up,
+            booting = supply.booting.len(),
+            rent = any.rent,
+            need = any.need,
+            keep = any.keep,
+            pending = all.iter().map(|need| need.pending).sum::<f64>(),
+            running = all.iter().map(|need| need.running).sum::<f64>(),
+            "fleet"
+        );
+        let mut by_zone: BTreeMap<(u32, bool), usize> = BTreeMap::new();
+        for machine in self.know.machines.values() {
+            if let Some(zone) = machine.zone.filter(|_| machine.kind == Some(kind)) {
+                *by_zone.entry((zone, machine.spot)).or_default() += 1;
+            }
+        }
+        let mut need = any.rent.ceil() as usize;
+        let need_ordinary = (ordinary.rent.ceil() as usize).min(need.max(1));
+        for spot in [true, false] {
+            let share = if spot { need.saturating_sub(need_ordinary) } else { need };
+            if share == 0 || (spot && !may_spot) {
+                continue;
+            }
+            let mut open: Vec<u32> = zones
+                .iter()
+                .copied()
+                .filter(|zone| {
+                    self.know.cloud.may_have_capacity(Pool { kind, zone: *zone, spot }, now)
+                })
+                .collect();
+            if open.is_empty() {
+                continue;
+            }
+            // Spread over zones: the one that has fewest gets the most.
+            open.sort_by_key(|zone| by_zone.get(&(*zone, spot)).copied().unwrap_or(0));
+            let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
+            for step in 0..share {
+                *counts.entry(open[step % open.len()]).or_default() += 1;
+            }
+            for (zone, count) in counts {
+                self.know.cloud.want(Pool { kind, zone, spot }, count);
+            }
+            if spot {
+                // What spot machines cannot give, ordinary ones do in the next round.
+                need = need_ordinary;
+            }
+        }
+        // Ordinary machines go as soon as they are not needed; cheap ones stay for
+        // what usually comes.
+        let have = supply.up + supply.booting.len() as f64;
+        let have_ordinary = supply_ordinary.up + supply_ordinary.booting.len() as f64;
+        let over = |have: f64, bound: f64| (have - bound.round()).max(0.0) as usize;
+        let spare_ordinary = over(have_ordinary, ordinary.need).min(over(have, any.need));
+        let spare_spot = over(have, any.keep).saturating_sub(spare_ordinary);
+        self.return_idle(now, options, kind, false, spare_ordinary);
+        self.return_idle(now, options, kind, true, spare_spot);
+    }
+
+    fn return_idle(&mut self, now: f64, options: &Options, kind: u32, spot: bool, spare: usize) {
+        let mut idle: Vec<(f64, u32)> = self
+            .know
+            .machines
+            .iter()
+            .filter(|(_, m)| {
+                m.kind == Some(kind)
+                    && m.spot == spot
+                    && !m.leaving()
+                    && !m.standby
+                    && m.heard_at.is_some()
+                    && m.attempts.is_empty()
+                    && now - m.idle_since >= options.idle_s
+                    // A minute is charged in any case.
+                    && now - m.born >= 55.0
+            })
+            .map(|(ix, m)| (m.idle_since, *ix))
+            .collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, ix) in idle.into_iter().take(spare) {
+            if let Some(machine) = self.know.machines.get_mut(&ix) {
+                tracing::info!(machine = machine.name, spot, "idle: returned");
+                machine.delete = Some("idle");
+                self.know.leaving.insert(ix);
+            }
+        }
+    }
+}
--- a/crates/gladekeel-controller/src/leader/standby.rs
+++ b/crates/gladekeel-controller/src/leader/standby.rs
@@ -8,7 +8,7 @@
 
 /// Gangs of a class as they came in the last minutes, in machines.
 #[derive(Debug, Default)]
-pub(super) struct Gangs {
+struct Gangs {
     /// Machine-seconds, old ones counting less and less.
     work: f64,
     /// The largest.
@@ -30,6 +30,22 @@
     }
 }
 
+/// Gangs that should start at once, and the machines that are kept for them.
+#[derive(Debug, Default)]
+pub(super) struct Standby {
+    /// Gangs that came lately, by type and class.
+    gangs: BTreeMap<(u32, String), Gangs>,
+    /// Ordinary machines to keep for them, by type.
+    machines: BTreeMap<u32, u32>,
+}
+
+impl Standby {
+    /// How many ordinary machines of a type are to be kept.
+    pub fn wanted(&self, kind: u32) -> u32 {
+        self.machines.get(&kind).copied().unwrap_or(0)
+    }
+}
+
 /// Gangs that came within this time tell of what will come.
 const GANGS_S: f64 = 180.0;
 /// Standby for gangs, over what they keep busy on average: they come in clusters.
@@ -47,7 +63,7 @@
             let (at, class) = (job.known_at, job.spec.class.clone());
             let image = job.image;
             let new = || Gangs { since: at, ..Gangs::default() };
-            let gangs = self.know.fleet.gangs.entry((kind, class)).or_insert_with(new);
+            let gangs = self.know.standby.gangs.entry((kind, class)).or_insert_with(new);
             gangs.images.insert(image);
             gangs.work = gangs.work * (-(at - gangs.at).max(0.0) / GANGS_S).exp() + work;
             gangs.largest = gangs.largest.max(f64::from(job.spec.tasks) / f64::from(fits));
@@ -58,42 +74,42 @@
     /// Keeps ordinary machines in each zone for gangs that should start at once: room for
     /// a whole gang would be late if it had to be gathered, and so would the image.
     pub(super) fn keep_standby(&mut self, now: f64) {
-        let fleet = &mut self.know.fleet;
-        fleet.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
+        let standby = &mut self.know.standby;
+        standby.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
         let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
         let mut images: BTreeSet<u32> = BTreeSet::new();
-        for ((kind, _), gangs) in &fleet.gangs {
+        for ((kind, _), gangs) in &standby.gangs {
             let (busy, largest) = wanted.entry(*kind).or_default();
             *busy += gangs.busy(now);
             *largest = largest.max(gangs.largest);
             images.extend(&gangs.images);
         }
-        fleet.standby.clear();
-        let mut shelves: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
+        standby.machines.clear();
+        let mut pools: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
         let machines = &mut self.know.machines;
         for (ix, machine) in &*machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let usable = !machine.spot && !machine.leaving() && machine.heard_at.is_some();
             if usable && wanted.contains_key(&kind) {
-                shelves.entry((kind, zone)).or_default().push(*ix);
+                pools.entry((kind, zone)).or_default().push(*ix);
             }
         }
         let mut kept = BTreeSet::new();
-        for ((kind, _), mut shelf) in shelves {
+        for ((kind, _), mut pool) in pools {
             let (busy, largest) = wanted[&kind];
             let count = (STANDBY * busy + largest).ceil() as usize + 1;
-            let count = count.min(shelf.len() / STANDBY_PART);
+            let count = count.min(pool.len() / STANDBY_PART);
             // Those that were kept so far, then those that have the images, then the
             // emptiest. A few more than are needed stay: need goes up and down.
-            let had = shelf.iter().filter(|ix| machines[*ix].standby).count();
-            shelf.sort_by_key(|ix| {
+            let had = pool.iter().filter(|ix| machines[*ix].standby).count();
+            pool.sort_by_key(|ix| {
                 let machine = &machines[ix];
                 let ready = machine.ready.intersection(&images).count();
                 (!machine.standby, Reverse(ready), machine.used.cpus)
             });
             let count = count.max(had.min(count + STANDBY_SPARE));
-            kept.extend(shelf.into_iter().take(count));
-            *self.know.fleet.standby.entry(kind).or_default() += count as u32;
+            kept.extend(pool.into_iter().take(count));
+            *self.know.standby.machines.entry(kind).or_default() += count as u32;
         }
         for (ix, machine) in machines {
             machine.standby = kept.contains(ix);
