--- a/crates/gladekeel-controller/src/leader/attempt.rs
+++ b/crates/gladekeel-controller/src/leader/attempt.rs
@@ -17,7 +17,7 @@
 
 /// Why an attempt is being stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopWhy {
+pub enum StopReason {
     /// The job is cancelled.
     Cancelled,
     /// To make room.
@@ -53,7 +53,7 @@
     /// When it was first seen running.
     pub run_since: Option<f64>,
     /// Why it should stop, if it should.
-    pub stop: Option<StopWhy>,
+    pub stop: Option<StopReason>,
     /// How often the stop was sent.
     pub stop_sent: u32,
     /// Whether its start was sent directly.
--- a/crates/gladekeel-controller/src/leader/catalog.rs
+++ b/crates/gladekeel-controller/src/leader/catalog.rs
@@ -28,11 +28,11 @@
         }
         self.types.fill(None);
         if let Some(types) = types {
-            self.learn(types);
+            self.add_types(types);
         }
     }
 
-    pub fn learn(&mut self, types: &MachineTypes) {
+    pub fn add_types(&mut self, types: &MachineTypes) {
         for machine_type in &types.types {
             let kind = self.kind(&machine_type.name);
             self.types[kind as usize] = Some(machine_type.clone());
--- a/crates/gladekeel-controller/src/leader/cloud_calls.rs
+++ b/crates/gladekeel-controller/src/leader/cloud_calls.rs
@@ -118,10 +118,10 @@
 
 impl Leader {
     pub(super) fn next_cloud_call(&mut self, now: f64) -> Option<CloudCall> {
-        if now < self.know.cloud.not_before {
+        if now < self.cluster.cloud.not_before {
             return None;
         }
-        let cloud = &mut self.know.cloud;
+        let cloud = &mut self.cluster.cloud;
         // Long lists are read less often: they would use up the calls.
         let list_s =
             self.params.cloud.list_lag_s.max(2.0) + 2.0 * f64::from(cloud.pages.max(1) - 1);
@@ -132,18 +132,18 @@
             && due(cloud.delete_at, DELETE_EVERY_S)
             && let Some(names) = self.next_deletion()
         {
-            self.know.cloud.delete_at = Some(now);
+            self.cluster.cloud.delete_at = Some(now);
             CloudCall::Delete(names)
         } else if let Some(rent) = self.next_rent(now) {
             CloudCall::Rent(rent)
-        } else if !self.know.cloud.in_flight.contains(&LIST)
-            && (!self.know.cloud.list.is_empty() || due(self.know.cloud.list_at, list_s))
+        } else if !self.cluster.cloud.in_flight.contains(&LIST)
+            && (!self.cluster.cloud.list.is_empty() || due(self.cluster.cloud.list_at, list_s))
         {
-            CloudCall::List { after: self.know.cloud.list.last().map(|row| row.name.clone()) }
+            CloudCall::List { after: self.cluster.cloud.list.last().map(|row| row.name.clone()) }
         } else {
             return None;
         };
-        self.know.cloud.in_flight.extend(lane(&call));
+        self.cluster.cloud.in_flight.extend(lane(&call));
         Some(call)
     }
 
@@ -151,15 +151,15 @@
     /// request goes out.
     fn next_deletion(&mut self) -> Option<Vec<String>> {
         let wanted = |ix: &u32| {
-            let machine = self.know.machines.get(ix)?;
+            let machine = self.cluster.machines.get(ix)?;
             (machine.delete.is_some() && !machine.gone)
                 .then_some((machine.attempts.is_empty(), *ix))
         };
-        let mut wanted: Vec<(bool, u32)> = self.know.leaving.iter().filter_map(wanted).collect();
+        let mut wanted: Vec<(bool, u32)> = self.cluster.leaving.iter().filter_map(wanted).collect();
         wanted.sort_unstable();
         let mut names = Vec::new();
         for (_, ix) in wanted.into_iter().take(MAX_DELETE) {
-            if let Some(machine) = self.know.machines.get_mut(&ix) {
+            if let Some(machine) = self.cluster.machines.get_mut(&ix) {
                 machine.delete_sent = true;
                 names.push(machine.name.clone());
             }
@@ -168,7 +168,7 @@
     }
 
     fn next_rent(&mut self, now: f64) -> Option<Rent> {
-        let cloud = &mut self.know.cloud;
+        let cloud = &mut self.cluster.cloud;
         // Without an answer the very same request is repeated: it may have been
         // carried out, and then the repeat gets the same machines.
         let again = |rental: &&mut Rental| !rental.in_flight && now >= rental.not_before;
@@ -201,14 +201,14 @@
 
     /// Takes a rental off the list of those that have no final answer.
     fn rental(&mut self, rent: &Rent) -> Option<Rental> {
-        let rents = &mut self.know.cloud.rents;
+        let rents = &mut self.cluster.cloud.rents;
         let at = rents.iter().position(|rental| rental.rent.request == rent.request)?;
         Some(rents.swap_remove(at))
     }
 
     pub(super) fn on_cloud(&mut self, now: f64, call: &CloudCall, outcome: CloudOutcome) {
         if let Some(lane) = lane(call) {
-            self.know.cloud.in_flight.remove(&lane);
+            self.cluster.cloud.in_flight.remove(&lane);
         }
         match (call, outcome) {
             (CloudCall::Types, CloudOutcome::Types(types)) => self.on_types(now, types),
@@ -217,14 +217,14 @@
             }
             (CloudCall::Rent(rent), CloudOutcome::NoCapacity | CloudOutcome::Bad) => {
                 if let Some(rental) = self.rental(rent) {
-                    self.know.cloud.empty_until.insert(rental.pool, now + NO_CAPACITY_S);
+                    self.cluster.cloud.empty_until.insert(rental.pool, now + NO_CAPACITY_S);
                 }
             }
             (CloudCall::Rent(rent), outcome) => {
                 let wait_s = if outcome == CloudOutcome::Busy { 0.5 } else { 1.0 };
-                self.know.cloud.not_before = now + wait_s;
+                self.cluster.cloud.not_before = now + wait_s;
                 let request = &rent.request;
-                let rents = &mut self.know.cloud.rents;
+                let rents = &mut self.cluster.cloud.rents;
                 if let Some(rental) = rents.iter_mut().find(|r| r.rent.request == *request) {
                     rental.in_flight = false;
                     rental.not_before = now + wait_s;
@@ -233,19 +233,19 @@
             (CloudCall::Delete(names), CloudOutcome::Deleted) => self.on_deleted(now, names),
             (CloudCall::List { .. }, CloudOutcome::List(page)) => self.on_list(now, page),
             (CloudCall::List { .. }, _) => {
-                self.know.cloud.list.clear();
-                self.know.cloud.list_at = Some(now);
+                self.cluster.cloud.list.clear();
+                self.cluster.cloud.list_at = Some(now);
             }
             (CloudCall::Types, _) => {
-                self.know.cloud.types_at = Some(now - TYPES_EVERY_S + 2.0);
+                self.cluster.cloud.types_at = Some(now - TYPES_EVERY_S + 2.0);
             }
-            (_, CloudOutcome::Busy) => self.know.cloud.not_before = now + 0.5,
-            _ => self.know.cloud.not_before = now + 1.0,
+            (_, CloudOutcome::Busy) => self.cluster.cloud.not_before = now + 0.5,
+            _ => self.cluster.cloud.not_before = now + 1.0,
         }
     }
 
     fn on_types(&mut self, now: f64, types: MachineTypes) {
-        self.know.cloud.types_at = Some(now);
+        self.cluster.cloud.types_at = Some(now);
         let first = self.catalog.kinds.is_empty();
         let stable = |t: &gladekeel_wire::cloud::MachineType| {
             let mut t = t.clone();
@@ -261,7 +261,7 @@
         if first || changed {
             self.commits.types = Some(types.clone());
         }
-        self.catalog.learn(&types);
+        self.catalog.add_types(&types);
         self.round_wanted = true;
     }
 
@@ -276,57 +276,58 @@
             "rented"
         );
         if names.len() < rent.count as usize {
-            self.know.cloud.empty_until.insert(pool, now + NO_CAPACITY_S);
+            self.cluster.cloud.empty_until.insert(pool, now + NO_CAPACITY_S);
         }
         for name in names {
-            self.know.counts.rented += 1;
-            let ix = self.know.machine_names.intern(&name);
-            let machine = self.know.machines.entry(ix).or_insert_with(|| Machine::new(&name, now));
+            self.cluster.counts.rented += 1;
+            let ix = self.cluster.machine_names.intern(&name);
+            let machine =
+                self.cluster.machines.entry(ix).or_insert_with(|| Machine::new(&name, now));
             machine.kind = Some(pool.kind);
             machine.spot = pool.spot;
-            machine.vouched = true;
-            self.learn_zone(ix, pool.zone);
+            machine.confirmed = true;
+            self.set_zone(ix, pool.zone);
         }
     }
 
     fn on_deleted(&mut self, now: f64, names: &[String]) {
         for name in names {
-            let Some(ix) = self.know.machine_names.get(name.as_str()) else { continue };
-            let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
+            let Some(ix) = self.cluster.machine_names.get(name.as_str()) else { continue };
+            let Some(machine) = self.cluster.machines.get_mut(&ix) else { continue };
             machine.gone = true;
-            self.know.counts.deleted += 1;
-            self.know.cloud.deleted.insert(name.clone(), now);
-            self.know.cloud.deleted_order.push_back(name.clone());
+            self.cluster.counts.deleted += 1;
+            self.cluster.cloud.deleted.insert(name.clone(), now);
+            self.cluster.cloud.deleted_order.push_back(name.clone());
         }
         self.round_wanted = true;
         self.watch_machines(now);
     }
 
     fn on_list(&mut self, now: f64, page: MachineList) {
-        self.know.cloud.list.extend(page.machines);
+        self.cluster.cloud.list.extend(page.machines);
         if page.more {
             return;
         }
-        self.know.cloud.list_at = Some(now);
-        self.know.cloud.pages = self.know.cloud.list.len().div_ceil(MAX_LIST) as u32;
-        let rows = std::mem::take(&mut self.know.cloud.list);
+        self.cluster.cloud.list_at = Some(now);
+        self.cluster.cloud.pages = self.cluster.cloud.list.len().div_ceil(MAX_LIST) as u32;
+        let rows = std::mem::take(&mut self.cluster.cloud.list);
         let mut listed = BTreeSet::new();
         for row in rows {
-            if self.know.cloud.is_gone(&row.name) {
+            if self.cluster.cloud.is_gone(&row.name) {
                 continue;
             }
-            let ix = self.know.machine_names.intern(&row.name);
+            let ix = self.cluster.machine_names.intern(&row.name);
             listed.insert(ix);
-            let machine = self.know.machines.entry(ix).or_insert_with(|| {
+            let machine = self.cluster.machines.entry(ix).or_insert_with(|| {
                 tracing::info!(machine = row.name, "adopted from the list");
                 let mut machine = Machine::new(&row.name, now);
-                machine.born = now - row.age_s;
+                machine.rented_at = now - row.age_s;
                 machine
             });
             machine.kind = Some(self.catalog.kind(&row.machine_type));
             machine.spot = row.spot;
             machine.listed = true;
-            machine.vouched = true;
+            machine.confirmed = true;
             if machine.addr.is_none() {
                 machine.addr = row.addr;
             }
@@ -334,21 +335,21 @@
             machine.list_state = Some(row.state);
             if row.state == MachineState::Failed && machine.delete.is_none() {
                 machine.delete = Some("failed");
-                self.know.leaving.insert(ix);
+                self.cluster.leaving.insert(ix);
             }
             let zone = self.catalog.zones.intern(&row.zone);
-            self.learn_zone(ix, zone);
+            self.set_zone(ix, zone);
         }
         let late_s = self.params.workers.late_s();
-        for (ix, machine) in &mut self.know.machines {
+        for (ix, machine) in &mut self.cluster.machines {
             // One that only the log tells of was up before this leader began.
-            let was_listed = machine.listed || machine.born == f64::NEG_INFINITY;
+            let was_listed = machine.listed || machine.rented_at == f64::NEG_INFINITY;
             if was_listed && !listed.contains(ix) && now - machine.quiet_since > late_s {
                 // Lists may be older than the one before: one of them proves little.
                 machine.missing += 1;
                 if machine.missing >= 2 && machine.delete.is_none() {
                     machine.delete = Some("no longer listed");
-                    self.know.leaving.insert(*ix);
+                    self.cluster.leaving.insert(*ix);
                 }
             }
         }
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -9,7 +9,7 @@
 //! more. What has counted for long is told again in a new segment, so that the log
 //! stays short; a slot with something in it that counts is never written over.
 
-use super::{Job, Leader, Phase, StopWhy};
+use super::{Job, Leader, Phase, StopReason};
 use crate::{
     keys,
     log::{self, Writer},
@@ -47,7 +47,7 @@
 
 /// A segment in use.
 #[derive(Debug)]
-struct Held {
+struct LogSegment {
     slot: u32,
     version: u64,
     seq: u64,
@@ -75,7 +75,7 @@
     types_version: u64,
     drain_versions: BTreeMap<String, u64>,
     /// Segments in use, oldest first.
-    held: VecDeque<Held>,
+    segments: VecDeque<LogSegment>,
     /// Slots that may be used again, with their versions, the oldest segment first:
     /// so a release is never gone before the assignment that it ends.
     free: VecDeque<(u32, u64)>,
@@ -105,7 +105,7 @@
     segments: Vec<SentSegment>,
     proposed: BTreeSet<u64>,
     released: Vec<u64>,
-    fates: Vec<u32>,
+    final_states: Vec<u32>,
     cleared: Vec<u32>,
     drains: Vec<String>,
     types: bool,
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Takes in a segment that was read; they come oldest first.
-    pub fn hold(
+    /// Adds a segment that was read from the store; they come oldest first.
+    pub fn add_segment(
         &mut self,
         slot: u32,
         version: u64,
@@ -133,14 +133,14 @@
         attempts: Vec<u64>,
         chunks: Vec<(u32, u32)>,
     ) {
-        self.held.push_back(Held { slot, version, seq, attempts, chunks });
+        self.segments.push_back(LogSegment { slot, version, seq, attempts, chunks });
         self.slots = self.slots.max(slot + 1);
         self.next_seq = self.next_seq.max(seq + 1);
     }
 
     /// How many segments are in use.
-    pub fn segments(&self) -> usize {
-        self.held.len()
+    pub fn segment_count(&self) -> usize {
+        self.segments.len()
     }
 
     /// How many more assignments a round should decide: about what can be written
@@ -300,13 +300,15 @@
     /// Adds jobs that are done; tells whether all of them fit.
     fn draft_finished(&self, draft: &mut Draft) -> bool {
         for ix in &self.commits.finished {
-            let Some(job) = self.jobs.get(ix).filter(|job| job.fate.is_none()) else { continue };
+            let Some(job) = self.jobs.get(ix).filter(|job| job.final_state.is_none()) else {
+                continue;
+            };
             if !draft.fits(1) {
                 return false;
             }
             draft.guard(keys::job(&job.id), job.version);
             draft.put(keys::fate(&job.id), 0, &JobState::Done);
-            draft.sent.fates.push(*ix);
+            draft.sent.final_states.push(*ix);
         }
         true
     }
@@ -314,7 +316,7 @@
     fn draft_assigned(&self, draft: &mut Draft, id: u64) -> bool {
         let Some(attempt) = self.attempts.get(id) else { return true };
         let job = self.job_names.name(attempt.job);
-        let machine = self.know.machine_names.name(attempt.machine);
+        let machine = self.cluster.machine_names.name(attempt.machine);
         let Some((writer, segment)) = draft.segment(log::row_bytes(job, machine)) else {
             return false;
         };
@@ -338,17 +340,17 @@
         // A log that holds much that counts may be longer.
         let live = self.attempts.len() * 48 / self.commits.capacity.max(1);
         let long = LONG_LOG.max(4 * live);
-        let over = self.commits.held.len().saturating_sub(long).min(CLEANED);
-        for held in self.commits.held.iter().take(over) {
-            for id in &held.attempts {
-                let counts = self.assigns(held.seq, *id) && !self.commits.released.contains(id);
+        let over = self.commits.segments.len().saturating_sub(long).min(CLEANED);
+        for old in self.commits.segments.iter().take(over) {
+            for id in &old.attempts {
+                let counts = self.assigns(old.seq, *id) && !self.commits.released.contains(id);
                 if counts && !self.draft_assigned(draft, *id) {
                     return;
                 }
             }
-            for (ix, chunk) in &held.chunks {
+            for (ix, chunk) in &old.chunks {
                 let told = draft.segments.iter().any(|(_, s)| s.whole.contains(&(*ix, *chunk)));
-                if told || !self.tells(held.seq, *ix, *chunk) {
+                if told || !self.tells(old.seq, *ix, *chunk) {
                     continue;
                 }
                 let Some(job) = self.jobs.get(ix) else { continue };
@@ -369,20 +371,24 @@
     /// Whether what a segment tells of a chunk is told by no newer one.
     fn tells(&self, seq: u64, job: u32, chunk: u32) -> bool {
         self.jobs.get(&job).is_some_and(|job| {
-            job.fate.is_none() && job.told_at.get(&chunk).is_none_or(|told| *told <= seq)
+            job.final_state.is_none()
+                && job.progress_segment.get(&chunk).is_none_or(|told| *told <= seq)
         })
     }
 
     /// Frees the oldest segments as far as nothing in them counts any more.
     pub(super) fn reclaim(&mut self) {
-        while let Some(mut held) = self.commits.held.pop_front() {
-            while held.attempts.pop_if(|id| !self.assigns(held.seq, *id)).is_some() {}
-            while held.chunks.pop_if(|(job, chunk)| !self.tells(held.seq, *job, *chunk)).is_some() {
-            }
-            if held.attempts.is_empty() && held.chunks.is_empty() {
-                self.commits.free.push_back((held.slot, held.version));
+        while let Some(mut oldest) = self.commits.segments.pop_front() {
+            while oldest.attempts.pop_if(|id| !self.assigns(oldest.seq, *id)).is_some() {}
+            while oldest
+                .chunks
+                .pop_if(|(job, chunk)| !self.tells(oldest.seq, *job, *chunk))
+                .is_some()
+            {}
+            if oldest.attempts.is_empty() && oldest.chunks.is_empty() {
+                self.commits.free.push_back((oldest.slot, oldest.version));
             } else {
-                self.commits.held.push_front(held);
+                self.commits.segments.push_front(oldest);
                 break;
             }
         }
@@ -410,8 +416,8 @@
         }
     }
 
-    /// Takes in the version of a drain order.
-    pub(super) fn learn_drain_version(&mut self, machine: &str, version: Option<u64>) {
+    /// Sets the version of a drain order's key.
+    pub(super) fn set_drain_version(&mut self, machine: &str, version: Option<u64>) {
         match version {
             Some(version) => self.commits.drain_versions.insert(machine.to_owned(), version),
             None => self.commits.drain_versions.remove(machine),
@@ -423,8 +429,8 @@
         self.commits.sent.as_ref()?.mark.as_ref()
     }
 
-    /// Takes in what came of the transaction under way. Tells whether the store
-    /// should be looked at at once.
+    /// Applies the outcome of the transaction under way. Returns whether the store
+    /// should be read at once.
     pub fn commit_answered(&mut self, now: f64, outcome: &Outcome) -> bool {
         let Some(sent) = self.commits.sent.take() else { return false };
         match outcome {
@@ -467,12 +473,12 @@
     }
 
     fn committed(&mut self, now: f64, sent: Sent, revision: u64) {
-        self.know.counts.commits += 1;
-        self.know.counts.writes += sent.writes as u64;
-        for ix in &sent.fates {
+        self.cluster.counts.commits += 1;
+        self.cluster.counts.writes += sent.writes as u64;
+        for ix in &sent.final_states {
             self.commits.finished.remove(ix);
             if let Some(job) = self.jobs.get_mut(ix) {
-                job.fate = Some(JobState::Done);
+                job.final_state = Some(JobState::Done);
                 if self.attempts.of_job(*ix).is_empty() {
                     self.commits.cleared.insert(*ix);
                 }
@@ -503,11 +509,17 @@
             }
             for (ix, chunk) in &segment.whole {
                 if let Some(job) = self.jobs.get_mut(ix) {
-                    job.told_at.insert(*chunk, segment.seq);
+                    job.progress_segment.insert(*chunk, segment.seq);
                 }
             }
             let SentSegment { slot, seq, attempts, chunks, .. } = segment;
-            self.commits.held.push_back(Held { slot, version: revision, seq, attempts, chunks });
+            self.commits.segments.push_back(LogSegment {
+                slot,
+                version: revision,
+                seq,
+                attempts,
+                chunks,
+            });
         }
         for id in &sent.proposed {
             self.commits.proposed.remove(id);
@@ -517,7 +529,7 @@
             });
             let Some((job_ix, machine)) = live else { continue };
             self.direct_wanted.insert(machine);
-            self.know.counts.starts += 1;
+            self.cluster.counts.starts += 1;
             let gang = self.jobs.get(&job_ix).is_some_and(Job::is_gang);
             if gang && self.attempts.of_job(job_ix).uncommitted() == 0 {
                 self.direct_wanted.extend(self.attempts.of_job(job_ix).machines());
@@ -541,7 +553,7 @@
             if !self.jobs.get(&job_ix).is_some_and(Job::is_gang) {
                 self.withdraw_one(*id, now);
             } else if gangs.insert(job_ix) {
-                self.stop_gang(job_ix, StopWhy::Regroup);
+                self.stop_gang(job_ix, StopReason::Regroup);
                 self.withdraw_one(*id, now);
                 for other in self.attempts.ids_of_job(job_ix) {
                     self.withdraw_one(other, now);
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -4,17 +4,17 @@
 //! while token and session match. Until that is settled its attempt is neither
 //! released for being absent nor forgotten; a new token settles it for good.
 
-use super::{Leader, Machine, Phase, StopWhy};
+use super::{Leader, Machine, Phase, StopReason};
 use gladekeel_wire::{
     TaskId,
     worker::{Command, Direct, Report, TaskState},
 };
 
 /// Time after which an unanswered `run` is settled by a new token.
-const LOOSE_S: f64 = 15.0;
+const UNSETTLED_START_S: f64 = 15.0;
 /// Requests in a row without an answer, after which a silent machine counts as dead and
 /// one that showed nothing of the answers to its reports as one that hears nothing.
-const DEAF: u32 = 2;
+const MAX_UNANSWERED: u32 = 2;
 
 /// After a lag of this node, for so long missing answers do not count.
 const LAG_COUNTS_S: f64 = 3.0;
@@ -67,12 +67,12 @@
         while self.probing < self.max_probes
             && let Some(ix) = self.probes_wanted.pop_first()
         {
-            if let Some(machine) = self.know.machines.get_mut(&ix)
-                && !machine.direct_flying
+            if let Some(machine) = self.cluster.machines.get_mut(&ix)
+                && !machine.direct_in_flight
                 && !machine.gone
                 && let Some(addr) = machine.addr.clone()
             {
-                machine.direct_flying = true;
+                machine.direct_in_flight = true;
                 self.probing += 1;
                 let (token, starts) = (self.token, Vec::new());
                 return Some(DirectCall { addr, body: None, token, machine: ix, starts });
@@ -83,12 +83,13 @@
 
     fn direct_for(&mut self, now: f64, ix: u32, may_start: bool) -> Option<DirectCall> {
         let heard_s = self.params.workers.late_s();
-        let machine = self.know.machines.get_mut(&ix)?;
-        if machine.direct_flying || machine.gone || now - machine.quiet_since > heard_s {
+        let machine = self.cluster.machines.get_mut(&ix)?;
+        if machine.direct_in_flight || machine.gone || now - machine.quiet_since > heard_s {
             return None;
         }
         let addr = machine.addr.clone()?;
-        let may_start = may_start && !self.fence && !machine.leaving() && machine.strikes == 0;
+        let may_start =
+            may_start && !self.fence && !machine.leaving() && machine.unheard_answers == 0;
         let (mut commands, mut starts) = (Vec::new(), Vec::new());
         for id in &machine.attempts {
             let Some(attempt) = self.attempts.get(*id) else { continue };
@@ -101,9 +102,9 @@
             let number = if job.is_gang() { id - u64::from(attempt.index) } else { *id };
             if let Some(why) = attempt.stop {
                 let there = match attempt.seen {
-                    Some(TaskState::Fetching) => why != StopWhy::Incomplete,
+                    Some(TaskState::Fetching) => why != StopReason::Incomplete,
                     Some(TaskState::Waiting | TaskState::Running) => true,
-                    Some(TaskState::Saving) => why == StopWhy::Cancelled,
+                    Some(TaskState::Saving) => why == StopReason::Cancelled,
                     _ => false,
                 };
                 if there && attempt.stop_sent == 0 {
@@ -124,20 +125,20 @@
             }
         }
         if commands.is_empty() {
-            if machine.strikes > 0 && machine.delete.is_none() {
+            if machine.unheard_answers > 0 && machine.delete.is_none() {
                 // It is asked whether it hears at all.
                 self.probes_wanted.insert(ix);
             }
             return None;
         }
         commands.sort_by_key(|command| matches!(command, Command::Start { .. }));
-        machine.direct_flying = true;
+        machine.direct_in_flight = true;
         let token = self.token;
         let body = Some(Direct { token, session: machine.newest.0, commands });
         Some(DirectCall { addr, body, token, machine: ix, starts })
     }
 
-    /// Takes in what came of a direct command.
+    /// Applies the outcome of a direct command.
     pub fn direct_answered(&mut self, now: f64, call: &DirectCall, outcome: &DirectOutcome) {
         if call.token != self.token {
             return;
@@ -145,12 +146,12 @@
         if call.body.is_none() {
             self.probing = self.probing.saturating_sub(1);
         }
-        let Some(machine) = self.know.machines.get_mut(&call.machine) else { return };
-        machine.direct_flying = false;
+        let Some(machine) = self.cluster.machines.get_mut(&call.machine) else { return };
+        machine.direct_in_flight = false;
         for id in &call.starts {
             if *outcome == DirectOutcome::Unknown {
                 machine.open_starts.entry(*id).and_modify(|since| *since = Some(now));
-                self.loose.insert(call.machine);
+                self.unsettled_starts.insert(call.machine);
             } else {
                 machine.open_starts.remove(id);
             }
@@ -161,7 +162,7 @@
             for id in &machine.attempts {
                 if self.attempts.get(*id).is_some_and(|attempt| attempt.stop.is_some()) {
                     self.attempts.update(*id, |attempt| attempt.stop_sent = 0);
-                    self.unstopped.insert(call.machine);
+                    self.undelivered_stops.insert(call.machine);
                 }
             }
         }
@@ -173,15 +174,18 @@
             _ if now - self.lagged_at < LAG_COUNTS_S => {}
             DirectOutcome::NotSent | DirectOutcome::Unknown => {
                 machine.unanswered += 1;
-                if machine.unanswered < DEAF {
+                if machine.unanswered < MAX_UNANSWERED {
                     self.probes_wanted.insert(call.machine);
                 } else {
                     machine.mute_since.get_or_insert(now);
                 }
-                if machine.unanswered >= DEAF && machine.strikes > 1 && machine.delete.is_none() {
+                if machine.unanswered >= MAX_UNANSWERED
+                    && machine.unheard_answers > 1
+                    && machine.delete.is_none()
+                {
                     tracing::info!(machine = machine.name, "hears nothing: deleted");
                     machine.delete = Some("hears nothing");
-                    self.know.leaving.insert(call.machine);
+                    self.cluster.leaving.insert(call.machine);
                 }
             }
         }
@@ -189,12 +193,12 @@
 
     fn on_direct_report(&mut self, now: f64, call: &DirectCall, report: &Report) {
         // An address may by now be another machine's.
-        let ours = self.know.machine_names.get(report.machine.as_str()) == Some(call.machine);
+        let ours = self.cluster.machine_names.get(report.machine.as_str()) == Some(call.machine);
         if !ours {
             return;
         }
-        let newer = self.learn_report(now, report).is_some();
-        let Some(machine) = self.know.machines.get_mut(&call.machine) else { return };
+        let newer = self.apply_report(now, report).is_some();
+        let Some(machine) = self.cluster.machines.get_mut(&call.machine) else { return };
         machine.unanswered = 0;
         machine.answered_at = Some(now);
         machine.answers_since.get_or_insert(now);
@@ -204,7 +208,7 @@
         machine.mute_since = None;
         machine.suspect_since = None;
         // It was reached, so it hears.
-        machine.strikes = 0;
+        machine.unheard_answers = 0;
         machine.awaited = Default::default();
         if !newer {
             return;
@@ -212,7 +216,7 @@
         // What is there says something; what is absent does not, since answers to
         // reports may still be under way.
         for reported in &report.tasks {
-            let id = self.attempt_of(reported);
+            let id = self.attempt_id(reported);
             let known = self.attempts.get(id).is_some_and(|attempt| {
                 attempt.machine == call.machine
                     && attempt.session == report.session
@@ -228,10 +232,11 @@
 
     /// Whether an unanswered `run` needs a new token: its job is cancelled, so that
     /// it must never start, or it has been open for long.
-    pub(super) fn loose_start(&mut self, now: f64) -> bool {
+    pub(super) fn has_unsettled_start(&mut self, now: f64) -> bool {
         let mut needed = false;
-        self.loose.retain(|ix| {
-            let Some(machine) = self.know.machines.get(ix).filter(|machine| !machine.gone) else {
+        self.unsettled_starts.retain(|ix| {
+            let Some(machine) = self.cluster.machines.get(ix).filter(|machine| !machine.gone)
+            else {
                 return false;
             };
             let mut open = false;
@@ -241,12 +246,13 @@
                 let job = self.attempts.get(*id).and_then(|attempt| self.jobs.get(&attempt.job));
                 let wanted = job.is_some_and(|job| !job.cancelled());
                 // A machine that is being deleted settles it by going.
-                let settles = machine.delete_sent && now - since < 2.0 * LOOSE_S;
+                let settles = machine.delete_sent && now - since < 2.0 * UNSETTLED_START_S;
                 // A new token settles it by the machine's report under it: one that is
                 // not heard would not bring that either.
                 let heard = machine.quiet_since > *since;
-                needed |=
-                    heard && !settles && (!wanted && now - since > 1.0 || now - since > LOOSE_S);
+                needed |= heard
+                    && !settles
+                    && (!wanted && now - since > 1.0 || now - since > UNSETTLED_START_S);
             }
             open
         });
--- a/crates/gladekeel-controller/src/leader/job.rs
+++ b/crates/gladekeel-controller/src/leader/job.rs
@@ -1,6 +1,6 @@
 //! A job: its description, what has become of its tasks, and what that tells.
 
-use super::{attempt::StopWhy, catalog::Catalog};
+use super::{attempt::StopReason, catalog::Catalog};
 use crate::{keys::Bits, world::StoredJob};
 use gladekeel_sched::{Room, restart};
 use gladekeel_wire::{
@@ -36,7 +36,7 @@
     /// The only allowed zone.
     pub zone: Option<u32>,
     /// Its final state, if the store has one.
-    pub fate: Option<JobState>,
+    pub final_state: Option<JobState>,
     /// Another controller has committed its cancellation; the store has not told yet.
     pub called_off: bool,
     /// If it is cancelled: a time at which it was not so yet.
@@ -56,7 +56,7 @@
     /// How many are on machines whose zone is not known.
     pub zone_unknown: u32,
     /// The newest segment of the log that tells a chunk's progress whole.
-    pub told_at: BTreeMap<u32, u64>,
+    pub progress_segment: BTreeMap<u32, u64>,
     /// Tasks that were stopped for others once: that must not go on for ever.
     pub displaced: Bits,
     /// When it was accepted, as far as known, on the leader's clock.
@@ -92,7 +92,7 @@
             image: catalog.images.intern(&spec.image),
             kinds: spec.types.as_ref().map(|types| types.iter().map(|t| catalog.kind(t)).collect()),
             zone: spec.zone.as_ref().map(|zone| catalog.zones.intern(zone)),
-            fate: None,
+            final_state: None,
             called_off: false,
             cancelled_after: f64::NEG_INFINITY,
             pending: (0..spec.tasks).collect(),
@@ -102,7 +102,7 @@
             number: 0,
             by_zone: Vec::new(),
             zone_unknown: 0,
-            told_at: BTreeMap::new(),
+            progress_segment: BTreeMap::new(),
             displaced: Bits::default(),
             known_at: now,
             waits_since: None,
@@ -117,7 +117,7 @@
 
     /// Whether it is cancelled.
     pub fn cancelled(&self) -> bool {
-        self.fate == Some(JobState::Cancelled) || self.called_off
+        self.final_state == Some(JobState::Cancelled) || self.called_off
     }
 
     /// Whether its tasks run together or not at all.
@@ -127,7 +127,7 @@
 
     /// Whether it needs nothing more: final, or all of its tasks done.
     pub fn over(&self) -> bool {
-        self.fate.is_some() || self.called_off || self.done.count() == self.spec.tasks
+        self.final_state.is_some() || self.called_off || self.done.count() == self.spec.tasks
     }
 
     /// Tasks that have not completed.
@@ -157,7 +157,7 @@
     }
 
     /// Puts a task back: in front, since it has waited already.
-    pub(super) fn give_back(&mut self, index: u32, restart: bool, now: f64) {
+    pub(super) fn requeue(&mut self, index: u32, restart: bool, now: f64) {
         if self.done.has(index) {
             return;
         }
@@ -171,7 +171,7 @@
     }
 
     /// Remembers a finished run.
-    pub(super) fn ran(&mut self, seconds: f64) {
+    pub(super) fn record_run(&mut self, seconds: f64) {
         if self.runs.len() < RUNS_KEPT {
             self.runs.push(seconds);
         } else {
@@ -209,19 +209,19 @@
     }
 
     /// Whether its users want its tasks to start within a time.
-    pub fn awaited(&self, params: &Params) -> bool {
+    pub fn has_start_aim(&self, params: &Params) -> bool {
         let mut aims = params.objectives.iter();
         aims.any(|aim| aim.kind == "wait" && aim.class.as_deref() == Some(&self.spec.class))
     }
 
     /// How long a task may take to save when it is stopped.
-    pub fn grace(&self, why: StopWhy) -> f64 {
+    pub fn grace(&self, why: StopReason) -> f64 {
         let at_once = match why {
             // Room made for others is wanted at once, and the victim was chosen for how
             // little it loses since its last checkpoint. A gang is stopped last.
-            StopWhy::Preempted => self.spec.kind != Kind::Gang,
-            StopWhy::Cancelled | StopWhy::Regroup | StopWhy::Incomplete => true,
-            StopWhy::Slow | StopWhy::Drained => false,
+            StopReason::Preempted => self.spec.kind != Kind::Gang,
+            StopReason::Cancelled | StopReason::Regroup | StopReason::Incomplete => true,
+            StopReason::Slow | StopReason::Drained => false,
         };
         let saves = self.spec.checkpoint_s > 0.0 && !at_once;
         // More than the task asks for, so that a slower save is not cut off.
--- a/crates/gladekeel-controller/src/leader/liveness.rs
+++ b/crates/gladekeel-controller/src/leader/liveness.rs
@@ -42,11 +42,11 @@
             !self.attempts.of_job(*ix).is_empty()
         });
         for ix in over {
-            let Some(machine) = self.know.machines.get_mut(&ix) else { continue };
+            let Some(machine) = self.cluster.machines.get_mut(&ix) else { continue };
             if machine.delete.is_none() && !machine.gone {
                 tracing::info!(machine = machine.name, "may still run a cancelled task: deleted");
                 machine.delete = Some("may still run a cancelled task");
-                self.know.leaving.insert(ix);
+                self.cluster.leaving.insert(ix);
             }
         }
     }
@@ -72,7 +72,7 @@
         let silent_s = options.silent_s;
         let mut zones: BTreeMap<Option<u32>, (usize, usize)> = BTreeMap::new();
         let mut answered: BTreeMap<Option<u32>, f64> = BTreeMap::new();
-        for machine in self.know.machines.values().filter(|m| m.should_report()) {
+        for machine in self.cluster.machines.values().filter(|m| m.should_report()) {
             let (heard, all) = zones.entry(machine.zone).or_default();
             *all += 1;
             *heard += usize::from(now - machine.quiet_since < heard_s);
@@ -109,12 +109,12 @@
             zones.keys().copied().filter(|zone| in_reach(*zone)).collect();
         // Silence counts only while the zone is within reach: right after a cut its
         // machines have been silent for long and are about to be heard again.
-        let since = &mut self.know.reached_since;
+        let since = &mut self.cluster.reached_since;
         since.retain(|zone, _| reached.contains(zone));
         for zone in reached {
             since.entry(zone).or_insert(now);
         }
-        for (ix, machine) in &mut self.know.machines {
+        for (ix, machine) in &mut self.cluster.machines {
             if machine.delete.is_some() || machine.gone {
                 continue;
             }
@@ -122,7 +122,7 @@
             if machine.drained && machine.attempts.is_empty() {
                 tracing::info!(machine = machine.name, "drained: returned");
                 machine.delete = Some("drained");
-                self.know.leaving.insert(*ix);
+                self.cluster.leaving.insert(*ix);
                 continue;
             }
             let answers_s = machine.answers_since.map_or(0.0, |since| now - since);
@@ -131,9 +131,9 @@
                 // it would lose every long task again and again.
                 tracing::info!(machine = machine.name, quiet, "reports to nobody: deleted");
                 machine.delete = Some("reports to nobody");
-                self.know.leaving.insert(*ix);
+                self.cluster.leaving.insert(*ix);
             } else if machine.should_report() {
-                let reached = self.know.reached_since.get(&machine.zone);
+                let reached = self.cluster.reached_since.get(&machine.zone);
                 let reached_s = reached.map_or(-1.0, |since| now - since);
                 // Silence of a whole zone may be a cut, and its machines may be at
                 // work behind it: only a long one is taken for their end.
@@ -159,16 +159,16 @@
                 {
                     tracing::info!(machine = machine.name, quiet, "silent: deleted");
                     machine.delete = Some("silent");
-                    self.know.leaving.insert(*ix);
+                    self.cluster.leaving.insert(*ix);
                 }
             } else {
                 let boot = machine.kind.and_then(|kind| boots.get(&kind)).copied().unwrap_or(60.0);
                 // One that was up already has not reported to this leader yet; it may be
                 // about to.
-                if quiet > silent_s && now - machine.born > boot * BOOT_MULTIPLE + 10.0 {
+                if quiet > silent_s && now - machine.rented_at > boot * BOOT_MULTIPLE + 10.0 {
                     tracing::info!(machine = machine.name, "never came up: deleted");
                     machine.delete = Some("never came up");
-                    self.know.leaving.insert(*ix);
+                    self.cluster.leaving.insert(*ix);
                 }
             }
         }
--- a/crates/gladekeel-controller/src/leader/machine.rs
+++ b/crates/gladekeel-controller/src/leader/machine.rs
@@ -45,7 +45,7 @@
     /// When the cloud takes it, if it said so.
     pub leaves_at: Option<f64>,
     /// When it was rented, as far as known.
-    pub born: f64,
+    pub rented_at: f64,
     /// Whether the list has shown it.
     pub listed: bool,
     /// What the list says.
@@ -75,7 +75,7 @@
     /// What the last answer to its report was to bring about.
     pub awaited: Awaited,
     /// Reports in a row that show nothing of what the answers before them said.
-    pub strikes: u32,
+    pub unheard_answers: u32,
     /// Direct commands in a row that had no answer.
     pub unanswered: u32,
     /// Since when it has answered none of several, while silent.
@@ -85,12 +85,12 @@
     /// Since when others of its zone have answered meanwhile.
     pub suspect_since: Option<f64>,
     /// Whether something else than its reports says that it is there.
-    pub vouched: bool,
+    pub confirmed: bool,
     /// Attempts whose `run` was sent directly and may still arrive; since when there
     /// has been no answer, once that is so.
     pub open_starts: BTreeMap<u64, Option<f64>>,
     /// Whether a direct command is under way.
-    pub direct_flying: bool,
+    pub direct_in_flight: bool,
     /// Images that it should have, oldest use first, with sizes.
     pub images: Vec<(u32, f64)>,
     /// Images of them that a task has run with.
@@ -112,7 +112,7 @@
             answers_since: None,
             quiet_since: now,
             leaves_at: None,
-            born: now,
+            rented_at: now,
             listed: false,
             list_state: None,
             missing: 0,
@@ -127,14 +127,14 @@
             attempts: BTreeSet::new(),
             used: Room::default(),
             awaited: Awaited::default(),
-            strikes: 0,
+            unheard_answers: 0,
             unanswered: 0,
             mute_since: None,
             answered_at: None,
             suspect_since: None,
-            vouched: false,
+            confirmed: false,
             open_starts: BTreeMap::new(),
-            direct_flying: false,
+            direct_in_flight: false,
             images: Vec::new(),
             ready: BTreeSet::new(),
         }
@@ -147,18 +147,18 @@
 
     /// A machine that the log tells of: it was up before this leader began.
     pub(super) fn restored(name: &str, now: f64) -> Machine {
-        Machine { born: f64::NEG_INFINITY, vouched: true, ..Machine::new(name, now) }
+        Machine { rented_at: f64::NEG_INFINITY, confirmed: true, ..Machine::new(name, now) }
     }
 
     /// Whether it was up once, as far as the log or the list say.
     pub(super) fn was_up(&self) -> bool {
-        self.born == f64::NEG_INFINITY || self.list_state == Some(MachineState::Running)
+        self.rented_at == f64::NEG_INFINITY || self.list_state == Some(MachineState::Running)
     }
 
     /// Whether it gets new work, as far as hearing goes: it must be known from more
     /// than a report, which may be a late copy, and have shown that it hears.
     pub fn hears(&self) -> bool {
-        self.vouched && self.strikes == 0
+        self.confirmed && self.unheard_answers == 0
     }
 
     /// Its state in a word.
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -19,7 +19,7 @@
 mod spend;
 mod standby;
 
-pub use attempt::{Attempt, Phase, StopWhy};
+pub use attempt::{Attempt, Phase, StopReason};
 pub use direct::{DirectCall, DirectOutcome};
 pub use job::Job;
 pub use machine::Machine;
@@ -94,10 +94,10 @@
     pub spend: Spend,
 }
 
-/// What the leader knows besides what is in the store. It outlives a change of
-/// token, and is rebuilt from reports and lists by a new leader.
+/// The cluster as reports and the cloud describe it, as opposed to what is in the store.
+/// It outlives a change of token; a new leader rebuilds it from reports and lists.
 #[derive(Debug, Default)]
-pub struct Knowledge {
+pub struct ClusterState {
     /// The indices that all else here is told in. A leader holds them beside its knowledge.
     catalog: Catalog,
     machine_names: Interner<String>,
@@ -115,7 +115,7 @@
     pub counts: Counts,
 }
 
-impl Knowledge {
+impl ClusterState {
     /// The same leader under a new token. It has heard reports all the while, so
     /// silence goes on to count.
     fn renew(&mut self) {
@@ -125,7 +125,7 @@
             machine.awaited = Default::default();
             // Nothing under an older token can start once the worker has seen this one.
             machine.open_starts.clear();
-            machine.direct_flying = false;
+            machine.direct_in_flight = false;
         }
     }
 }
@@ -163,7 +163,7 @@
     epoch: f64,
     params: Rc<Params>,
     catalog: Catalog,
-    know: Knowledge,
+    cluster: ClusterState,
     jobs: BTreeMap<u32, Job>,
     job_names: Interner<JobId>,
     attempts: Attempts,
@@ -197,14 +197,14 @@
     /// How many are being asked, and may be.
     probing: usize,
     max_probes: usize,
-    /// Machines to which a direct `run` had no answer.
-    loose: BTreeSet<u32>,
-    /// Jobs whose counts have changed since they were last told.
-    untold: BTreeSet<u32>,
+    /// Machines to which a direct `run` had no answer: it may still arrive.
+    unsettled_starts: BTreeSet<u32>,
+    /// Jobs whose counts have changed since they were last published.
+    changed_counts: BTreeSet<u32>,
     /// Cancelled jobs of which something may still be on a machine.
     ending: BTreeSet<u32>,
     /// Machines that did not get the stops that were sent to them directly.
-    unstopped: BTreeSet<u32>,
+    undelivered_stops: BTreeSet<u32>,
 }
 
 impl Leader {
@@ -218,11 +218,11 @@
         world: &World,
         rows: Vec<LogRow>,
         start: Start,
-        know: Option<Knowledge>,
+        cluster: Option<ClusterState>,
     ) -> Result<Leader, Unreadable> {
         let Start { token, now, epoch, params, salt } = start;
-        let mut know = know.unwrap_or_default();
-        let mut catalog = std::mem::take(&mut know.catalog);
+        let mut cluster = cluster.unwrap_or_default();
+        let mut catalog = std::mem::take(&mut cluster.catalog);
         catalog.renew(&params, world.types.as_ref().map(|(types, _)| &**types));
         let teams = params
             .teams
@@ -243,7 +243,7 @@
             since: now,
             epoch,
             catalog,
-            know,
+            cluster,
             jobs: BTreeMap::new(),
             job_names: Interner::default(),
             attempts: Attempts::default(),
@@ -268,22 +268,22 @@
             probes_wanted: BTreeSet::new(),
             probing: 0,
             max_probes: Sockets::of(&params.limits).calls / 2,
-            loose: BTreeSet::new(),
-            untold: BTreeSet::new(),
+            unsettled_starts: BTreeSet::new(),
+            changed_counts: BTreeSet::new(),
             ending: BTreeSet::new(),
-            unstopped: BTreeSet::new(),
+            undelivered_stops: BTreeSet::new(),
             params,
         };
-        leader.know.renew();
+        leader.cluster.renew();
         let mut ids: Vec<(&JobId, u64)> =
             world.jobs.iter().map(|(id, job)| (id, job.version)).collect();
         ids.sort_by_key(|(_, version)| *version);
         for (id, _) in ids {
-            leader.learn_job(world, id, now);
+            leader.add_job(world, id, now);
         }
         leader.replay(segments, now);
         for name in world.drains.keys() {
-            leader.learn_drain(world, name);
+            leader.apply_drain(world, name);
         }
         tracing::info!(
             token,
@@ -294,18 +294,18 @@
         Ok(leader)
     }
 
-    /// What outlives the token, for the next one.
-    pub fn into_knowledge(self) -> Knowledge {
-        Knowledge { catalog: self.catalog, ..self.know }
+    /// The part of the state that outlives the token, for the next one.
+    pub fn into_cluster_state(self) -> ClusterState {
+        ClusterState { catalog: self.catalog, ..self.cluster }
     }
 
     /// Counters so far.
     pub fn counts(&self) -> &Counts {
-        &self.know.counts
+        &self.cluster.counts
     }
 
-    /// Takes in a job that is new in the store.
-    pub fn learn_job(&mut self, world: &World, id: &JobId, now: f64) {
+    /// Adds a job that is new in the store.
+    pub fn add_job(&mut self, world: &World, id: &JobId, now: f64) {
         let Some(stored) = world.jobs.get(id) else { return };
         let ix = self.job_names.intern(id);
         if self.jobs.contains_key(&ix) {
@@ -319,34 +319,34 @@
         if let Some(accepted) = stored.accepted_at {
             job.known_at = (accepted - self.epoch).min(now);
         }
-        job.fate = world.fates.get(id).copied();
+        job.final_state = world.fates.get(id).copied();
         job.called_off = world.called_off.contains_key(id);
         let after = world.cancelled_after.get(id).or(world.called_off.get(id));
         job.cancelled_after = after.copied().unwrap_or(f64::NEG_INFINITY);
-        if job.fate.is_some() {
+        if job.final_state.is_some() {
             self.commits.cleared.insert(ix);
         }
-        let new = now > self.since && job.fate.is_none();
+        let new = now > self.since && job.final_state.is_none();
         self.jobs.insert(ix, job);
         // Of gangs a new leader wants to know at once how much room to keep for them.
-        if new || self.jobs.get(&ix).is_some_and(|job| job.is_gang() && job.fate.is_none()) {
+        if new || self.jobs.get(&ix).is_some_and(|job| job.is_gang() && job.final_state.is_none()) {
             self.count_arrival(ix);
         }
-        self.untold.insert(ix);
+        self.changed_counts.insert(ix);
         self.round_wanted = true;
     }
 
-    /// Takes in a final state that is new in the store.
-    pub fn learn_fate(&mut self, world: &World, id: &JobId) {
+    /// Applies a final state that is new in the store.
+    pub fn apply_final_state(&mut self, world: &World, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
-        job.fate = world.fates.get(id).copied();
+        job.final_state = world.fates.get(id).copied();
         if !job.called_off {
             let after = world.cancelled_after.get(id).copied();
             job.cancelled_after = after.unwrap_or(f64::NEG_INFINITY);
         }
         job.called_off = false;
-        if job.fate.is_some() {
+        if job.final_state.is_some() {
             self.commits.finished.remove(&ix);
             if self.attempts.of_job(ix).is_empty() {
                 self.commits.cleared.insert(ix);
@@ -357,8 +357,8 @@
         }
     }
 
-    /// Takes in what another controller told: a job's cancellation was committed,
-    /// some time after `after`.
+    /// Applies a cancellation that another controller has committed, some time after
+    /// `after`.
     pub fn call_off(&mut self, id: &JobId, after: f64) {
         let Some(ix) = self.job_names.get(id) else { return };
         let Some(job) = self.jobs.get_mut(&ix).filter(|job| !job.over()) else { return };
@@ -367,7 +367,7 @@
         self.stop_job(ix);
     }
 
-    /// Takes in that the store no longer has a job.
+    /// Removes a job that the store no longer has.
     pub fn forget_job(&mut self, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
         if self.attempts.of_job(ix).is_empty() {
@@ -375,9 +375,9 @@
         }
     }
 
-    /// Takes in machine types.
-    pub fn learn_types(&mut self, types: &MachineTypes) {
-        self.catalog.learn(types);
+    /// Applies machine types that were read from the store.
+    pub fn apply_types(&mut self, types: &MachineTypes) {
+        self.catalog.add_types(types);
     }
 
     fn stop_job(&mut self, ix: u32) {
@@ -388,13 +388,13 @@
         self.direct_wanted.extend(self.attempts.of_job(ix).machines());
         for id in self.attempts.ids_of_job(ix) {
             self.attempts.update(id, |attempt| {
-                attempt.stop = Some(StopWhy::Cancelled);
+                attempt.stop = Some(StopReason::Cancelled);
                 attempt.stop_sent = 0;
             });
         }
     }
 
-    /// Takes in the log, oldest segment first.
+    /// Replays the log, oldest segment first.
     fn replay(&mut self, segments: Vec<(u32, u64, log::Segment)>, now: f64) {
         let mut live: BTreeMap<u64, (log::Assigned, u64)> = BTreeMap::new();
         for (slot, version, segment) in segments {
@@ -405,7 +405,7 @@
                 let Some(job) = self.jobs.get_mut(&ix) else { continue };
                 job.done.add_chunk(progress.chunk, &progress.done, job.spec.tasks);
                 job.restarted.add_chunk(progress.chunk, &progress.restarted, job.spec.tasks);
-                job.told_at.insert(progress.chunk, segment.seq);
+                job.progress_segment.insert(progress.chunk, segment.seq);
                 chunks.push((ix, progress.chunk));
             }
             for assigned in segment.assigned {
@@ -426,7 +426,7 @@
                     chunks.push((ix, released.index / crate::keys::CHUNK));
                 }
             }
-            self.commits.hold(slot, version, segment.seq, attempts, chunks);
+            self.commits.add_segment(slot, version, segment.seq, attempts, chunks);
         }
         let mut assigned: HashMap<u32, HashSet<u32>> = HashMap::new();
         for (id, (row, seq)) in live {
@@ -450,10 +450,10 @@
             let none_on_machines = self.attempts.of_job(*ix).is_empty();
             job.pending
                 .retain(|at| !job.done.has(*at) && !there.is_some_and(|set| set.contains(at)));
-            if job.done.count() == job.spec.tasks && job.fate.is_none() {
+            if job.done.count() == job.spec.tasks && job.final_state.is_none() {
                 self.commits.finished.insert(*ix);
             }
-            if job.fate.is_some() && !none_on_machines {
+            if job.final_state.is_some() && !none_on_machines {
                 self.commits.cleared.remove(ix);
             }
             if job.is_gang() && !job.over() && !none_on_machines && !job.pending.is_empty() {
@@ -467,7 +467,7 @@
                         // Its finish was stored upon a report of its exit: that is the proof.
                         ended.push(id);
                     } else if job.cancelled() {
-                        attempt.stop = Some(StopWhy::Cancelled);
+                        attempt.stop = Some(StopReason::Cancelled);
                         self.ending.insert(*ix);
                     }
                 });
@@ -477,15 +477,15 @@
             self.release(id, Outcome::Done);
         }
         for ix in broken {
-            self.stop_gang(ix, StopWhy::Regroup);
+            self.stop_gang(ix, StopReason::Regroup);
         }
         self.reclaim();
     }
 
     fn restore(&mut self, now: f64, job_ix: u32, id: u64, row: log::Assigned, seq: u64) {
-        let machine_ix = self.know.machine_names.intern(&row.machine);
+        let machine_ix = self.cluster.machine_names.intern(&row.machine);
         let machine = self
-            .know
+            .cluster
             .machines
             .entry(machine_ix)
             .or_insert_with(|| Machine::restored(&row.machine, now));
@@ -534,20 +534,20 @@
             if job.done.count() < job.spec.tasks {
                 (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
             }
-            self.untold.insert(job_ix);
-            if job.fate.is_none() {
+            self.changed_counts.insert(job_ix);
+            if job.final_state.is_none() {
                 self.commits.finished.insert(job_ix);
             }
         } else if job.is_gang() && !job.over() && !self.still_waits(job_ix) {
-            self.stop_gang(job_ix, StopWhy::Regroup);
+            self.stop_gang(job_ix, StopReason::Regroup);
         }
         let Some(job) = self.jobs.get_mut(&job_ix) else { return };
         if outcome == Outcome::Restart {
             job.restarted.add(index);
         }
         if outcome == Outcome::Done && job.done.add(index) {
-            self.untold.insert(job_ix);
-            if job.done.count() == job.spec.tasks && job.fate.is_none() {
+            self.changed_counts.insert(job_ix);
+            if job.done.count() == job.spec.tasks && job.final_state.is_none() {
                 self.commits.finished.insert(job_ix);
             }
         }
@@ -571,13 +571,13 @@
                 && waits_s > REPLACE_S
         });
         for ix in gangs.map(|(ix, _)| *ix).collect::<Vec<_>>() {
-            self.stop_gang(ix, StopWhy::Regroup);
+            self.stop_gang(ix, StopReason::Regroup);
         }
     }
 
     /// Stops all tasks of a gang that are not being stopped yet: one decision for all,
     /// sent to all at once.
-    fn stop_gang(&mut self, job_ix: u32, why: StopWhy) {
+    fn stop_gang(&mut self, job_ix: u32, why: StopReason) {
         if !self.jobs.contains_key(&job_ix) {
             return;
         }
@@ -595,7 +595,7 @@
     /// The room of an attempt is free: its release is committed, or it never was.
     fn free(&mut self, id: u64, outcome: Outcome, now: f64) {
         let Some(attempt) = self.attempts.remove(id) else { return };
-        if let Some(machine) = self.know.machines.get_mut(&attempt.machine) {
+        if let Some(machine) = self.cluster.machines.get_mut(&attempt.machine) {
             machine.attempts.remove(&id);
             machine.used -= attempt.room;
             if machine.attempts.is_empty() {
@@ -606,19 +606,19 @@
             self.teams[job.team as usize].used -= attempt.room;
             job.count_zone(attempt.zone, -1);
             if outcome != Outcome::Done {
-                job.give_back(attempt.index, outcome == Outcome::Restart, now);
+                job.requeue(attempt.index, outcome == Outcome::Restart, now);
             }
-            if job.fate.is_some() && self.attempts.of_job(attempt.job).is_empty() {
+            if job.final_state.is_some() && self.attempts.of_job(attempt.job).is_empty() {
                 self.commits.cleared.insert(attempt.job);
             }
-            self.untold.insert(attempt.job);
+            self.changed_counts.insert(attempt.job);
         }
         self.round_wanted = true;
     }
 
     /// A machine's zone is known from now; it may not have been after a takeover.
-    fn learn_zone(&mut self, ix: u32, zone: u32) {
-        let Some(machine) = self.know.machines.get_mut(&ix) else { return };
+    fn set_zone(&mut self, ix: u32, zone: u32) {
+        let Some(machine) = self.cluster.machines.get_mut(&ix) else { return };
         if machine.zone == Some(zone) {
             return;
         }
@@ -636,7 +636,7 @@
 
     /// The jobs whose counts have changed since this was last asked.
     pub fn take_counts(&mut self) -> Vec<(JobId, Display)> {
-        let told = std::mem::take(&mut self.untold);
+        let told = std::mem::take(&mut self.changed_counts);
         let jobs = told.iter().filter_map(|ix| Some((*ix, self.jobs.get(ix)?)));
         jobs.filter(|(_, job)| !job.over())
             .map(|(ix, job)| {
@@ -648,14 +648,14 @@
 
     /// The number under which a worker knows an attempt. The tasks of a gang share
     /// one: that is how they find one another.
-    fn number(&self, id: u64) -> u64 {
+    fn reported_attempt(&self, id: u64) -> u64 {
         let Some(attempt) = self.attempts.get(id) else { return id };
         let gang = self.jobs.get(&attempt.job).is_some_and(Job::is_gang);
         if gang { id - u64::from(attempt.index) } else { id }
     }
 
     /// The attempt that a worker speaks of.
-    fn attempt_of(&self, reported: &TaskReport) -> u64 {
+    fn attempt_id(&self, reported: &TaskReport) -> u64 {
         let job = self.job_names.get(&reported.task.job).and_then(|ix| self.jobs.get(&ix));
         match job {
             Some(job) if job.is_gang() => {
@@ -703,15 +703,15 @@
             self.lagged_at = now;
         }
         self.ticked_at = now;
-        self.know.counts.attempt_lookups += self.attempts.take_lookups();
+        self.cluster.counts.attempt_lookups += self.attempts.take_lookups();
         self.watch_machines(now);
-        self.fence |= self.loose_start(now);
+        self.fence |= self.has_unsettled_start(now);
         // What looks at every machine is done once a round at the most. Dead machines are
         // found also while a new token is awaited: that may take as long as an outage.
         let upkeep = now - self.upkeep_at >= options.round_s;
         if upkeep {
             self.upkeep_at = now;
-            self.direct_wanted.append(&mut self.unstopped);
+            self.direct_wanted.append(&mut self.undelivered_stops);
             self.find_dead(now, options, zone, heard_zones);
             self.end_cancelled(now);
         }
@@ -722,7 +722,7 @@
         if since >= options.round_s || (self.round_wanted && since >= options.round_s / 4.0) {
             self.round_at = now;
             self.round_wanted = false;
-            self.know.counts.rounds += 1;
+            self.cluster.counts.rounds += 1;
             self.round(now, options);
         }
         if upkeep {
@@ -740,20 +740,20 @@
         self.next_cloud_call(now)
     }
 
-    /// Takes in what the cloud answered.
+    /// Applies an answer of the cloud.
     pub fn cloud_answered(&mut self, now: f64, call: &CloudCall, outcome: CloudOutcome) {
         self.on_cloud(now, call, outcome);
     }
 
-    /// Takes in whether operators want a machine drained.
-    pub fn learn_drain(&mut self, world: &World, name: &str) {
+    /// Applies an operator's order to drain a machine, or its end.
+    pub fn apply_drain(&mut self, world: &World, name: &str) {
         let wanted = world.drains.contains_key(name);
-        self.learn_drain_version(name, world.drains.get(name).copied());
-        let ix = self.know.machine_names.get(name);
-        if let Some(machine) = ix.and_then(|ix| self.know.machines.get_mut(&ix)) {
+        self.set_drain_version(name, world.drains.get(name).copied());
+        let ix = self.cluster.machine_names.get(name);
+        if let Some(machine) = ix.and_then(|ix| self.cluster.machines.get_mut(&ix)) {
             machine.drained = wanted;
-            self.know.leaving.extend(ix);
-        } else if wanted && self.know.cloud.is_gone(name) {
+            self.cluster.leaving.extend(ix);
+        } else if wanted && self.cluster.cloud.is_gone(name) {
             self.commits.drains.insert(name.to_owned());
         }
     }
@@ -761,7 +761,7 @@
     /// Machines with their states.
     pub fn machine_status(&self, now: f64) -> Vec<MachineStatus> {
         let name = |names: &Interner<String>, ix: Option<u32>| ix.map(|ix| names.name(ix).clone());
-        self.know
+        self.cluster
             .machines
             .values()
             .filter(|machine| !machine.gone)
@@ -779,7 +779,7 @@
 
     /// Segments of the log in use.
     pub fn log_segments(&self) -> usize {
-        self.commits.segments()
+        self.commits.segment_count()
     }
 
     /// Age of the oldest unfinished job.
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,6 +1,6 @@
 //! Workers' reports and the commands that answer them.
 
-use super::{Job, Leader, Machine, Phase, StopWhy, attempt::Outcome, machine::Awaited};
+use super::{Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited};
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
 use gladekeel_wire::{TaskId, job::Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,19 +10,19 @@
 
 /// Reports in a row that show nothing of what they were answered, after which a
 /// machine must show that it hears.
-const STRIKES: u32 = 2;
+const MAX_UNHEARD_ANSWERS: u32 = 2;
 
 impl Leader {
-    /// Takes in who a report is from and how the machine is; tells which it is, if the
-    /// report is newer than all that was heard of it.
-    pub(super) fn learn_report(&mut self, now: f64, report: &Report) -> Option<u32> {
-        if self.know.cloud.is_gone(&report.machine) {
+    /// Applies what a report says of its machine. Returns the machine if the report is
+    /// newer than all that were received from it.
+    pub(super) fn apply_report(&mut self, now: f64, report: &Report) -> Option<u32> {
+        if self.cluster.cloud.is_gone(&report.machine) {
             return None;
         }
-        let ix = self.know.machine_names.intern(&report.machine);
+        let ix = self.cluster.machine_names.intern(&report.machine);
         let (kind, zone) =
             (self.catalog.kind(&report.machine_type), self.catalog.zones.intern(&report.zone));
-        let machine = self.know.machines.entry(ix).or_insert_with(|| {
+        let machine = self.cluster.machines.entry(ix).or_insert_with(|| {
             tracing::info!(machine = report.machine, "a machine reports that was not rented here");
             Machine::new(&report.machine, now)
         });
@@ -37,7 +37,7 @@
             machine.open_starts.clear();
             if machine.heard_at.is_some() {
                 // It reported all the while and its lease ran out: it does not hear.
-                machine.strikes = machine.strikes.max(STRIKES);
+                machine.unheard_answers = machine.unheard_answers.max(MAX_UNHEARD_ANSWERS);
             }
         }
         machine.newest = (report.session, report.seq);
@@ -52,14 +52,14 @@
         machine.kind = Some(kind);
         machine.spot = report.spot;
         machine.addr = Some(report.addr.clone());
-        machine.vouched |= report.token == self.token;
+        machine.confirmed |= report.token == self.token;
         if let Some(notice) = report.notice_s {
             if machine.leaves_at.is_none() {
                 tracing::info!(machine = machine.name, notice, "notice: the cloud takes a machine");
                 self.round_wanted = true;
             }
             machine.leaves_at = Some(now + notice);
-            self.know.leaving.insert(ix);
+            self.cluster.leaving.insert(ix);
         }
         for id in machine.attempts.clone() {
             if self.attempts.get(id).is_some_and(|attempt| attempt.session < report.session) {
@@ -67,34 +67,34 @@
                 self.release(id, Outcome::Again);
             }
         }
-        self.learn_zone(ix, zone);
+        self.set_zone(ix, zone);
         Some(ix)
     }
 
-    /// Takes in that a report came, whatever is answered to it: its machine reaches a
+    /// Records that a report came, whatever is answered to it: its machine reaches a
     /// controller. While leases may not be renewed, that is all that is known.
     pub fn note_report(&mut self, now: f64, report: &Report) {
-        let ix = self.know.machine_names.get(report.machine.as_str());
-        if let Some(machine) = ix.and_then(|ix| self.know.machines.get_mut(&ix)) {
+        let ix = self.cluster.machine_names.get(report.machine.as_str());
+        if let Some(machine) = ix.and_then(|ix| self.cluster.machines.get_mut(&ix)) {
             machine.reported = (now, report.session.max(machine.reported.1));
             machine.answers_since = None;
         }
     }
 
-    /// Takes in a report and answers it. `may_start` is false while nothing new
+    /// Applies a report and answers it. `may_start` is false while nothing new
     /// may be started, since the store was not heard of for too long.
     pub fn on_report(&mut self, now: f64, report: &Report, may_start: bool) -> ReportAnswer {
         let mut answer = ReportAnswer { token: self.token, commands: Vec::new() };
-        let Some(ix) = self.learn_report(now, report) else { return answer };
+        let Some(ix) = self.apply_report(now, report) else { return answer };
         self.note_report(now, report);
         // A report under our token was made after the worker saw it, so commands
         // of older tokens are dead; and since the worker has one report in flight
         // and takes answers in turn, so are our own earlier answers.
         let settled = report.token == self.token;
         let mut reported: BTreeMap<u64, &TaskReport> =
-            report.tasks.iter().map(|task| (self.attempt_of(task), task)).collect();
-        self.judge_hearing(ix, settled, &reported);
-        let here = self.know.machines.get(&ix).map(|m| m.attempts.clone()).unwrap_or_default();
+            report.tasks.iter().map(|task| (self.attempt_id(task), task)).collect();
+        self.check_answer_was_heard(ix, settled, &reported);
+        let here = self.cluster.machines.get(&ix).map(|m| m.attempts.clone()).unwrap_or_default();
         for id in here {
             let Some(attempt) = self.attempts.get(id) else { continue };
             if attempt.session != report.session {
@@ -115,7 +115,7 @@
             self.on_task(now, id, own, settled, may_start, &mut answer.commands);
         }
         for (attempt, task) in reported {
-            self.on_stray(ix, attempt, task, settled, &mut answer.commands);
+            self.on_unassigned_task(ix, attempt, task, settled, &mut answer.commands);
         }
         // What may not stay goes first: an answer holds so many commands and no more.
         answer.commands.sort_by_key(|command| match command {
@@ -124,7 +124,7 @@
             Command::Start { .. } => 3,
         });
         answer.commands.truncate(MAX_COMMANDS);
-        if let Some(machine) = self.know.machines.get_mut(&ix) {
+        if let Some(machine) = self.cluster.machines.get_mut(&ix) {
             let mut awaited = Awaited { token: !settled, ..Awaited::default() };
             for command in &answer.commands {
                 match command {
@@ -144,17 +144,22 @@
     /// machine may send reports that arrive and hear nothing: it must not hold work
     /// or look alive. One answer may be lost; several in a row, and a direct command
     /// too, are not.
-    fn judge_hearing(&mut self, ix: u32, settled: bool, reported: &BTreeMap<u64, &TaskReport>) {
-        let Some(machine) = self.know.machines.get_mut(&ix) else { return };
+    fn check_answer_was_heard(
+        &mut self,
+        ix: u32,
+        settled: bool,
+        reported: &BTreeMap<u64, &TaskReport>,
+    ) {
+        let Some(machine) = self.cluster.machines.get_mut(&ix) else { return };
         let awaited = std::mem::take(&mut machine.awaited);
         let numbers: BTreeSet<u64> = reported.values().map(|task| task.attempt).collect();
         let came = awaited.starts.iter().any(|start| numbers.contains(start))
             || awaited.forgets.iter().any(|forget| !numbers.contains(forget))
             || (awaited.token && settled);
         if came {
-            machine.strikes = 0;
+            machine.unheard_answers = 0;
         } else if awaited != Awaited::default() {
-            machine.strikes += 1;
+            machine.unheard_answers += 1;
         }
     }
 
@@ -184,11 +189,15 @@
                 && !over
                 && !uncommitted
                 && attempt.stop.is_none()
-                && self.know.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
+                && self.cluster.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
             if starting {
-                commands.push(Command::Start { task, attempt: self.number(id) });
+                commands.push(Command::Start { task, attempt: self.reported_attempt(id) });
             } else if settled
-                && !self.know.machines.get(&attempt.machine).is_some_and(|m| m.may_still_start(id))
+                && !self
+                    .cluster
+                    .machines
+                    .get(&attempt.machine)
+                    .is_some_and(|m| m.may_still_start(id))
                 && (attempt.stop.is_some() || over || !may_start_ever(self, id))
             {
                 // Not there, and no command that could still start it.
@@ -202,8 +211,8 @@
         let Some(attempt) = self.attempts.get(id) else { return };
         let (Some(why), job) = (attempt.stop, attempt.job) else { return };
         let waits = match reported.state {
-            TaskState::Saving => why != StopWhy::Cancelled,
-            TaskState::Fetching => why == StopWhy::Incomplete,
+            TaskState::Saving => why != StopReason::Cancelled,
+            TaskState::Fetching => why == StopReason::Incomplete,
             _ => false,
         };
         if waits {
@@ -211,10 +220,10 @@
         }
         self.attempts.update(id, |attempt| attempt.stop_sent += 1);
         let grace_s = self.jobs[&job].grace(why);
-        commands.push(Command::Stop { task, attempt: self.number(id), grace_s });
+        commands.push(Command::Stop { task, attempt: self.reported_attempt(id), grace_s });
     }
 
-    /// Takes in a task's state; tells whether the task has ended.
+    /// Applies a task's reported state; returns whether the task has ended.
     pub(super) fn on_reported(&mut self, now: f64, id: u64, reported: &TaskReport) -> bool {
         let live = self.attempts.update(id, |attempt| {
             let live = attempt.phase == Phase::Live;
@@ -230,14 +239,14 @@
         {
             // An earlier leader began to stop its gang: what it has saved counts only if
             // all hear of it in time.
-            self.stop_gang(job_ix, StopWhy::Drained);
+            self.stop_gang(job_ix, StopReason::Drained);
         }
         let Some(attempt) = self.attempts.get(id) else { return true };
         let has_image =
             matches!(reported.state, TaskState::Waiting | TaskState::Running | TaskState::Saving);
         if has_image {
             let image = attempt.image;
-            let machine = self.know.machines.get_mut(&attempt.machine);
+            let machine = self.cluster.machines.get_mut(&attempt.machine);
             if reported.state != TaskState::Waiting && attempt.run_since.is_none() {
                 tracing::debug!(task = %reported.task, "runs");
                 self.attempts.update(id, |attempt| attempt.run_since = Some(now));
@@ -255,7 +264,7 @@
 
     /// A task that is reported under an attempt that the log does not have, or
     /// whose release is committed.
-    fn on_stray(
+    fn on_unassigned_task(
         &mut self,
         machine: u32,
         attempt: u64,
@@ -270,7 +279,7 @@
         let (task_id, number) = (task.task.clone(), task.attempt);
         if task.state != TaskState::Exited {
             commands.push(Command::Stop { task: task_id, attempt: number, grace_s: 0.0 });
-        } else if self.know.machines.get(&machine).is_some_and(|m| !m.may_still_start(attempt)) {
+        } else if self.cluster.machines.get(&machine).is_some_and(|m| !m.may_still_start(attempt)) {
             // Off the log, so its end is committed; settled, so no `run` of it
             // can still arrive and start it anew.
             commands.push(Command::Forget { task: task_id, attempt: number });
@@ -284,7 +293,7 @@
         // would look short, and others of its job slow.
         let ran = attempt.run_since.filter(|_| !attempt.restored).map(|since| now - since);
         let (Some(job), Some(machine)) =
-            (self.jobs.get_mut(&job_ix), self.know.machines.get_mut(&machine_ix))
+            (self.jobs.get_mut(&job_ix), self.cluster.machines.get_mut(&machine_ix))
         else {
             return;
         };
@@ -295,11 +304,11 @@
                 Outcome::Again
             }
             Some(Cause::PeersGone) => {
-                self.stop_gang(job_ix, StopWhy::Regroup);
+                self.stop_gang(job_ix, StopReason::Regroup);
                 Outcome::Again
             }
             Some(Cause::Alone) => {
-                self.stop_gang(job_ix, StopWhy::Incomplete);
+                self.stop_gang(job_ix, StopReason::Incomplete);
                 Outcome::Again
             }
             Some(Cause::Done) => {
@@ -307,19 +316,20 @@
                 job.failures = 0;
                 job.failed_on.clear();
                 if let Some(ran) = ran {
-                    job.ran(ran);
+                    job.record_run(ran);
                     let ratio = (ran / job.spec.estimate_s.max(0.1)).clamp(0.1, 10.0);
-                    let learned = self.know.ratios.entry(job.spec.class.clone()).or_insert(ratio);
+                    let learned =
+                        self.cluster.ratios.entry(job.spec.class.clone()).or_insert(ratio);
                     *learned += (ratio - *learned) * 0.1;
                 }
                 Outcome::Done
             }
-            Some(Cause::Stopped) if stop == Some(StopWhy::Slow) => {
-                self.know.counts.restarts += 1;
+            Some(Cause::Stopped) if stop == Some(StopReason::Slow) => {
+                self.cluster.counts.restarts += 1;
                 Outcome::Restart
             }
             Some(Cause::Error) => {
-                self.know.counts.failures += 1;
+                self.cluster.counts.failures += 1;
                 let gang = job.is_gang();
                 job.failures += 1;
                 job.failed_on.insert(machine_ix);
@@ -331,7 +341,7 @@
                     // It fails wherever it goes, so the machines are not to blame.
                     job.hold_until = now + f64::from(1 << job.failures.min(6)).min(60.0);
                     for other in &job.failed_on {
-                        if let Some(machine) = self.know.machines.get_mut(other) {
+                        if let Some(machine) = self.cluster.machines.get_mut(other) {
                             machine.failures = 0;
                         }
                     }
@@ -345,12 +355,12 @@
                             "a machine fails its tasks: returned"
                         );
                         machine.delete = Some("fails its tasks");
-                        self.know.leaving.insert(machine_ix);
+                        self.cluster.leaving.insert(machine_ix);
                     }
                 }
                 if gang {
                     // It had started, so the others end as well.
-                    self.stop_gang(job_ix, StopWhy::Regroup);
+                    self.stop_gang(job_ix, StopReason::Regroup);
                 }
                 Outcome::Again
             }
@@ -362,7 +372,7 @@
             Some(Cause::Stopped) => Outcome::Again,
         };
         if outcome != Outcome::Done {
-            let machine = self.know.machine_names.name(machine_ix);
+            let machine = self.cluster.machine_names.name(machine_ix);
             tracing::info!(task = %reported.task, machine, cause = ?reported.cause, why = ?stop, "ended before completion");
         }
         self.release(id, outcome);
@@ -374,6 +384,6 @@
     leader
         .attempts
         .get(id)
-        .and_then(|a| leader.know.machines.get(&a.machine))
+        .and_then(|a| leader.cluster.machines.get(&a.machine))
         .is_some_and(|m| !m.leaving())
 }
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,6 +1,6 @@
 //! A round of decisions: restarts, placements, preemption.
 
-use super::{Attempt, Job, Leader, Phase, StopWhy, attempt::Outcome};
+use super::{Attempt, Job, Leader, Phase, StopReason, attempt::Outcome};
 use crate::options::Options;
 use gladekeel_sched::{
     place,
@@ -23,7 +23,7 @@
 const SLOW_ROUNDS: usize = 5;
 
 /// A round with the leader's indices beside its own.
-struct Picture {
+struct RoundInput {
     round: place::Round,
     jobs: Vec<u32>,
     machines: Vec<u32>,
@@ -34,21 +34,21 @@
         if self.jobs.values().all(|job| job.pending.is_empty()) {
             return;
         }
-        let mut picture = self.picture(now, false);
+        let mut input = self.round_input(now, false);
         let mut gangs: BTreeMap<u32, u64> = BTreeMap::new();
-        let pending: u32 = picture.round.jobs.iter().map(|job| job.pending).sum();
-        let placements = picture.round.place(&options.hopper);
-        self.know.counts.looked += picture.round.looked;
+        let pending: u32 = input.round.jobs.iter().map(|job| job.pending).sum();
+        let placements = input.round.place(&options.hopper);
+        self.cluster.counts.looked += input.round.looked;
         tracing::debug!(
-            machines = picture.machines.len(),
+            machines = input.machines.len(),
             pending,
             placed = placements.len(),
-            most = picture.round.most,
+            most = input.round.most,
             "round"
         );
         for placement in placements {
-            let (job, machine) = (picture.jobs[placement.job], picture.machines[placement.machine]);
-            let gang = picture.round.jobs[placement.job].gang.then(|| {
+            let (job, machine) = (input.jobs[placement.job], input.machines[placement.machine]);
+            let gang = input.round.jobs[placement.job].gang.then(|| {
                 *gangs.entry(job).or_insert_with(|| {
                     let gang = &self.jobs[&job];
                     if !self.attempts.of_job(job).is_empty() {
@@ -68,9 +68,9 @@
     }
 
     /// The round as things are; full machines are in it only if `full`.
-    fn picture(&self, now: f64, full: bool) -> Picture {
+    fn round_input(&self, now: f64, full: bool) -> RoundInput {
         let most = self.commits.batch(&self.params);
-        let mut picture = Picture {
+        let mut input = RoundInput {
             round: place::Round { most, teams: self.teams.clone(), ..Default::default() },
             jobs: Vec::new(),
             machines: Vec::new(),
@@ -86,13 +86,13 @@
                 && now >= job.hold_until;
             waits && job.waits_since.is_some_and(|since| now - since > STARVED_S)
         });
-        for (ix, machine) in &self.know.machines {
+        for (ix, machine) in &self.cluster.machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let Some(whole) = self.catalog.room(kind) else { continue };
             if machine.leaving() || machine.heard_at.is_none() {
                 continue;
             }
-            picture.round.whole += whole;
+            input.round.whole += whole;
             let free = whole - machine.used;
             // One that answers and does not report will lose its tasks with its lease.
             let open = now - machine.quiet_since.min(machine.reported.0) < late_s
@@ -102,8 +102,8 @@
             if !full && (!open || free.cpus <= 0 || free.memory <= 0) {
                 continue;
             }
-            picture.machines.push(*ix);
-            picture.round.machines.push(place::Machine {
+            input.machines.push(*ix);
+            input.round.machines.push(place::Machine {
                 whole,
                 free,
                 kind,
@@ -131,8 +131,8 @@
             let nowhere = self.attempts.of_job(*ix).is_empty();
             let idle = (!array || nowhere) && job.spec.kind != Kind::Service;
             let waited = job.waits_since.filter(|_| idle).map_or(0.0, |since| now - since);
-            picture.jobs.push(*ix);
-            picture.round.jobs.push(place::Job {
+            input.jobs.push(*ix);
+            input.round.jobs.push(place::Job {
                 team: job.team,
                 priority: job.spec.priority as u8,
                 task: job.room,
@@ -153,14 +153,14 @@
                 overdue: (waited - PATIENCE_S).max(0.0).ceil() as u32,
             });
         }
-        picture
+        input
     }
 
     /// Decides that a job's next task goes to a machine; `gang` is the number that
     /// the tasks of a gang share.
     fn propose(&mut self, job_ix: u32, machine_ix: u32, gang: Option<u64>, now: f64) {
         let (Some(job), Some(machine)) =
-            (self.jobs.get_mut(&job_ix), self.know.machines.get_mut(&machine_ix))
+            (self.jobs.get_mut(&job_ix), self.cluster.machines.get_mut(&machine_ix))
         else {
             return;
         };
@@ -202,21 +202,21 @@
             },
         );
         self.commits.proposed.insert(id);
-        self.untold.insert(job_ix);
+        self.changed_counts.insert(job_ix);
         tracing::debug!(job = %job.id, index, machine = machine.name, cached, now, "placed");
     }
 
     /// Stops tasks that are slow on machines where everything is. Looks at some of the
     /// machines each time.
     pub(super) fn restart_slow(&mut self, now: f64, options: &Options) {
-        let some = self.know.machines.len() / SLOW_ROUNDS + 1;
-        let mut range = self.know.machines.range(self.slow_from..);
+        let some = self.cluster.machines.len() / SLOW_ROUNDS + 1;
+        let mut range = self.cluster.machines.range(self.slow_from..);
         let machines: Vec<u32> = range.by_ref().take(some).map(|(ix, _)| *ix).collect();
         self.slow_from = range.next().map_or(0, |(ix, _)| *ix);
         let mut ids = Vec::new();
         let mut runs = Vec::new();
         let mut medians: HashMap<u32, Option<f64>> = HashMap::new();
-        for id in machines.iter().flat_map(|ix| &self.know.machines[ix].attempts) {
+        for id in machines.iter().flat_map(|ix| &self.cluster.machines[ix].attempts) {
             let Some(attempt) = self.attempts.get(*id) else { continue };
             let (Some(since), Phase::Live) = (attempt.run_since, attempt.phase) else { continue };
             let Some(job) = self.jobs.get(&attempt.job) else { continue };
@@ -234,12 +234,12 @@
         }
         for slow in restart::slow(&runs, options.restart_multiple) {
             let id = ids[slow];
-            self.attempts.update(id, |attempt| attempt.stop = Some(StopWhy::Slow));
+            self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Slow));
             if let Some(attempt) = self.attempts.get(id) {
                 self.direct_wanted.insert(attempt.machine);
                 let (job, machine) = (
                     self.job_names.name(attempt.job),
-                    self.know.machine_names.name(attempt.machine),
+                    self.cluster.machine_names.name(attempt.machine),
                 );
                 tracing::info!(%job, index = attempt.index, machine, ran_s = runs[slow].ran_s, "slow: starts anew");
             }
@@ -272,18 +272,18 @@
             return;
         }
         // What is being stopped already counts as free: it will be.
-        let mut picture = self.picture(now, true);
-        let most = (picture.machines.len() / STOPPING).max(8);
+        let mut input = self.round_input(now, true);
+        let most = (input.machines.len() / STOPPING).max(8);
         let index: HashMap<u32, usize> =
-            picture.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
+            input.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
         let (mut victims, mut whole) = (Vec::new(), BTreeMap::new());
         let mut heard = BTreeMap::new();
         for (id, attempt) in self.attempts.iter() {
             let Some(at) = index.get(&attempt.machine) else { continue };
             let job = &self.jobs[&attempt.job];
             if attempt.stop.is_some() || matches!(attempt.phase, Phase::Releasing(_)) {
-                picture.round.machines[*at].free += attempt.room;
-                picture.round.teams[job.team as usize].used -= attempt.room;
+                input.round.machines[*at].free += attempt.room;
+                input.round.teams[job.team as usize].used -= attempt.room;
             } else if attempt.phase == Phase::Live
                 // What was stopped before would never get anywhere.
                 && !job.displaced.has(attempt.index)
@@ -312,12 +312,12 @@
                 }
             }
         }
-        let mut victims = Victims::new(picture.machines.len(), victims);
-        picture.round.place(&options.hopper);
+        let mut victims = Victims::new(input.machines.len(), victims);
+        input.round.place(&options.hopper);
         let (mut stopped, mut gangs) = (Vec::new(), 0);
-        for at in picture.round.order() {
-            let ix = picture.jobs[at];
-            let job = &picture.round.jobs[at];
+        for at in input.round.order() {
+            let ix = input.jobs[at];
+            let job = &input.round.jobs[at];
             if job.pending == 0 || stopped.len() >= most || !waiting(self, ix) {
                 continue;
             }
@@ -327,14 +327,14 @@
                 if job.pending == job.remaining && gangs < GANGS_AT_ONCE {
                     gangs += 1;
                     let left = most - stopped.len();
-                    stopped.extend(victims.stop_for_gang(&mut picture.round, at, left, patient));
+                    stopped.extend(victims.stop_for_gang(&mut input.round, at, left, patient));
                 }
                 continue;
             }
             let hurried = job.hurried;
-            stopped.extend(victims.stop_for(&mut picture.round, at, most - stopped.len(), patient));
+            stopped.extend(victims.stop_for(&mut input.round, at, most - stopped.len(), patient));
             if hurried
-                && picture.round.jobs[at].pending > 0
+                && input.round.jobs[at].pending > 0
                 && stopped.len() < most
                 && let Some(job) = self.jobs.get_mut(&ix)
             {
@@ -344,30 +344,30 @@
         }
         if stopped.is_empty() {
             // Gangs are stopped last, one at a time, and each as a whole.
-            let mut whole = Victims::new(picture.machines.len(), whole.into_values());
-            let order = picture.round.order();
+            let mut whole = Victims::new(input.machines.len(), whole.into_values());
+            let order = input.round.order();
             let claimant = order.into_iter().find(|at| {
-                let waited = waited(self, picture.jobs[*at]).unwrap_or(0.0);
-                let job = &picture.round.jobs[*at];
+                let waited = waited(self, input.jobs[*at]).unwrap_or(0.0);
+                let job = &input.round.jobs[*at];
                 job.pending > 0 && !job.gang && waited >= options.preempt_after_s
             });
             if let Some(at) = claimant
-                && let Some(id) = whole.stop_for(&mut picture.round, at, 1, false).first()
+                && let Some(id) = whole.stop_for(&mut input.round, at, 1, false).first()
             {
                 let Some(ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { return };
-                self.know.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
+                self.cluster.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
                 if let Some(job) = self.jobs.get_mut(&ix) {
                     (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
                 }
                 tracing::info!(job = %self.job_names.name(ix), "a gang is stopped to make room");
-                self.stop_gang(ix, StopWhy::Preempted);
+                self.stop_gang(ix, StopReason::Preempted);
             }
         }
         for id in stopped {
-            self.attempts.update(id, |attempt| attempt.stop = Some(StopWhy::Preempted));
+            self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
             if let Some(attempt) = self.attempts.get(id) {
                 self.direct_wanted.insert(attempt.machine);
-                self.know.counts.preemptions += 1;
+                self.cluster.counts.preemptions += 1;
                 if let Some(job) = self.jobs.get_mut(&attempt.job) {
                     job.displaced.add(attempt.index);
                 }
@@ -380,11 +380,13 @@
     /// Looks after machines that went away and tasks that must leave.
     pub(super) fn watch_machines(&mut self, now: f64) {
         let (mut release, mut withdraw, mut stop) = (Vec::new(), Vec::new(), Vec::new());
-        self.know.leaving.retain(|ix| self.know.machines.get(ix).is_some_and(|m| m.leaving()));
+        self.cluster
+            .leaving
+            .retain(|ix| self.cluster.machines.get(ix).is_some_and(|m| m.leaving()));
         let mut taken = Vec::new();
         let mut heard = BTreeMap::new();
-        for ix in &self.know.leaving {
-            let Some(machine) = self.know.machines.get(ix) else { continue };
+        for ix in &self.cluster.leaving {
+            let Some(machine) = self.cluster.machines.get(ix) else { continue };
             // The cloud takes it: what is left on it is lost, and to know that for
             // certain it is deleted.
             let over = machine.leaves_at.is_some_and(|at| now >= at || machine.attempts.is_empty());
@@ -405,7 +407,7 @@
             }
         }
         for ix in taken {
-            if let Some(machine) = self.know.machines.get_mut(&ix) {
+            if let Some(machine) = self.cluster.machines.get_mut(&ix) {
                 tracing::info!(
                     machine = machine.name,
                     tasks = machine.attempts.len(),
@@ -417,10 +419,10 @@
         for id in stop {
             let job = self.attempts.get(id).map(|attempt| attempt.job);
             if let Some(job) = job.filter(|job| self.jobs.get(job).is_some_and(Job::is_gang)) {
-                self.stop_gang(job, StopWhy::Drained);
+                self.stop_gang(job, StopReason::Drained);
             } else {
                 let machine = self.attempts.update(id, |attempt| {
-                    attempt.stop = Some(StopWhy::Drained);
+                    attempt.stop = Some(StopReason::Drained);
                     attempt.machine
                 });
                 self.direct_wanted.extend(machine);
@@ -437,7 +439,7 @@
     /// is better begun anew at once.
     fn must_leave(&self, now: f64, attempt: &Attempt, heard: &mut BTreeMap<u32, bool>) -> bool {
         let (Some(machine), Some(job)) =
-            (self.know.machines.get(&attempt.machine), self.jobs.get(&attempt.job))
+            (self.cluster.machines.get(&attempt.machine), self.jobs.get(&attempt.job))
         else {
             return false;
         };
@@ -455,7 +457,9 @@
         }
         // A gang with too little time to save would fall back to its last checkpoint by
         // being stopped as by losing the machine; running on it may reach another one.
-        too_long && left_s > job.grace(StopWhy::Drained) && self.all_heard(attempt.job, now, heard)
+        too_long
+            && left_s > job.grace(StopReason::Drained)
+            && self.all_heard(attempt.job, now, heard)
     }
 
     /// Whether all machines of a gang are heard, so that a stop reaches all its tasks.
@@ -464,8 +468,8 @@
         let late_s = self.params.workers.late_s();
         *heard.entry(job_ix).or_insert_with(|| {
             self.attempts.of_job(job_ix).machines().all(|ix| {
-                let machine = self.know.machines.get(&ix);
-                machine.is_some_and(|m| now - m.quiet_since < late_s && m.strikes == 0)
+                let machine = self.cluster.machines.get(&ix);
+                machine.is_some_and(|m| now - m.quiet_since < late_s && m.unheard_answers == 0)
             })
         })
     }
--- a/crates/gladekeel-controller/src/leader/sizing.rs
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -33,16 +33,16 @@
 impl Leader {
     /// Decides which machines to rent and which to return.
     pub(super) fn size_fleet(&mut self, now: f64, options: &Options) {
-        self.know.cloud.forget_old_deletions(now);
-        let gone = self.know.leaving.iter().copied().filter(|ix| {
-            self.know.machines.get(ix).is_some_and(|m| m.gone && m.attempts.is_empty())
+        self.cluster.cloud.forget_old_deletions(now);
+        let gone = self.cluster.leaving.iter().copied().filter(|ix| {
+            self.cluster.machines.get(ix).is_some_and(|m| m.gone && m.attempts.is_empty())
         });
         for ix in gone.collect::<Vec<_>>() {
-            self.know.machines.remove(&ix);
-            self.know.leaving.remove(&ix);
+            self.cluster.machines.remove(&ix);
+            self.cluster.leaving.remove(&ix);
         }
-        self.know.cloud.clear_wanted();
-        self.know.demand.fade(now);
+        self.cluster.cloud.clear_wanted();
+        self.cluster.demand.fade(now);
         let mut needs = self.needs(now);
         for kind in 0..self.catalog.types.len() as u32 {
             let needs = needs.remove(&kind).unwrap_or_default();
@@ -58,7 +58,7 @@
         let work = f64::from(job.spec.tasks) / f64::from(fits) * run_s;
         let due_s = job.due_s(&self.params, run_s);
         let class = job.spec.class.clone();
-        let flow = self.know.demand.arrived.entry((kind, class)).or_default();
+        let flow = self.cluster.demand.arrived.entry((kind, class)).or_default();
         let total = (flow.machines + work).max(1e-9);
         // Classes' due times differ from job to job: the mean by work.
         flow.due_s += (due_s - flow.due_s) * work / total;
@@ -105,7 +105,7 @@
     /// How long a task of the job runs: the owner's estimate, put right by what
     /// its class has shown.
     pub(super) fn expected_run(&self, job: &Job) -> f64 {
-        let ratio = self.know.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
+        let ratio = self.cluster.ratios.get(&job.spec.class).copied().unwrap_or(1.0);
         (job.spec.estimate_s * ratio).max(1.0)
     }
 
@@ -132,11 +132,11 @@
     /// What there is of a type, and of its ordinary machines alone.
     fn supply(&self, now: f64, kind: u32, boot_s: f64, silent_s: f64) -> (Supply, Supply) {
         let (mut any, mut ordinary) = (Supply::default(), Supply::default());
-        for machine in self.know.machines.values() {
+        for machine in self.cluster.machines.values() {
             if machine.kind != Some(kind) || machine.leaving() {
                 continue;
             }
-            let age = now - machine.born;
+            let age = now - machine.rented_at;
             for supply in [Some(&mut any), (!machine.spot).then_some(&mut ordinary)] {
                 let Some(supply) = supply else { continue };
                 if machine.heard_at.is_some()
@@ -151,7 +151,7 @@
                 }
             }
         }
-        for (pool, count) in self.know.cloud.open_rentals() {
+        for (pool, count) in self.cluster.cloud.open_rentals() {
             if pool.kind == kind {
                 let booting = vec![boot_s; count as usize];
                 any.booting.extend(&booting);
@@ -176,7 +176,7 @@
         let all: Vec<Need> = needs.iter().map(|(_, need)| *need).collect();
         let no_spot: Vec<Need> =
             needs.iter().filter(|(spot, _)| !spot).map(|(_, need)| *need).collect();
-        let demand = &mut self.know.demand;
+        let demand = &mut self.cluster.demand;
         let flows: Vec<Flow> = demand
             .arrived
             .iter()
@@ -190,7 +190,7 @@
         };
         let any = plan(false, &all, &supply);
         let mut ordinary = plan(true, &no_spot, &supply_ordinary);
-        let standby = self.know.standby.wanted(kind);
+        let standby = self.cluster.standby.wanted(kind);
         ordinary.need = ordinary.need.max(f64::from(standby));
         tracing::debug!(
             kind,
@@ -204,7 +204,7 @@
             "fleet"
         );
         let mut by_zone: BTreeMap<(u32, bool), usize> = BTreeMap::new();
-        for machine in self.know.machines.values() {
+        for machine in self.cluster.machines.values() {
             if let Some(zone) = machine.zone.filter(|_| machine.kind == Some(kind)) {
                 *by_zone.entry((zone, machine.spot)).or_default() += 1;
             }
@@ -220,7 +220,7 @@
                 .iter()
                 .copied()
                 .filter(|zone| {
-                    self.know.cloud.may_have_capacity(Pool { kind, zone: *zone, spot }, now)
+                    self.cluster.cloud.may_have_capacity(Pool { kind, zone: *zone, spot }, now)
                 })
                 .collect();
             if open.is_empty() {
@@ -233,7 +233,7 @@
                 *counts.entry(open[step % open.len()]).or_default() += 1;
             }
             for (zone, count) in counts {
-                self.know.cloud.want(Pool { kind, zone, spot }, count);
+                self.cluster.cloud.want(Pool { kind, zone, spot }, count);
             }
             if spot {
                 // What spot machines cannot give, ordinary ones do in the next round.
@@ -253,7 +253,7 @@
 
     fn return_idle(&mut self, now: f64, options: &Options, kind: u32, spot: bool, spare: usize) {
         let mut idle: Vec<(f64, u32)> = self
-            .know
+            .cluster
             .machines
             .iter()
             .filter(|(_, m)| {
@@ -265,16 +265,16 @@
                     && m.attempts.is_empty()
                     && now - m.idle_since >= options.idle_s
                     // A minute is charged in any case.
-                    && now - m.born >= 55.0
+                    && now - m.rented_at >= 55.0
             })
             .map(|(ix, m)| (m.idle_since, *ix))
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, ix) in idle.into_iter().take(spare) {
-            if let Some(machine) = self.know.machines.get_mut(&ix) {
+            if let Some(machine) = self.cluster.machines.get_mut(&ix) {
                 tracing::info!(machine = machine.name, spot, "idle: returned");
                 machine.delete = Some("idle");
-                self.know.leaving.insert(ix);
+                self.cluster.leaving.insert(ix);
             }
         }
     }
--- a/crates/gladekeel-controller/src/leader/spend.rs
+++ b/crates/gladekeel-controller/src/leader/spend.rs
@@ -29,8 +29,8 @@
         }
         let hours = (now - self.spend_at).max(0.0) / 3600.0;
         self.spend_at = now;
-        let spend = &mut self.know.counts.spend;
-        for machine in self.know.machines.values().filter(|m| !m.gone) {
+        let spend = &mut self.cluster.counts.spend;
+        for machine in self.cluster.machines.values().filter(|m| !m.gone) {
             let Some(kind) = machine.kind else { continue };
             let (Some(machine_type), Some(whole)) =
                 (self.catalog.machine_type(kind), self.catalog.room(kind))
@@ -59,7 +59,7 @@
         }
         if now - self.spend_told >= 60.0 {
             self.spend_told = now;
-            tracing::info!(?spend, machines = self.know.machines.len(), "spent so far");
+            tracing::info!(?spend, machines = self.cluster.machines.len(), "spent so far");
         }
     }
 }
--- a/crates/gladekeel-controller/src/leader/standby.rs
+++ b/crates/gladekeel-controller/src/leader/standby.rs
@@ -59,11 +59,11 @@
     /// A gang has come: so much work, so many of whose tasks fit on a machine.
     pub(super) fn count_gang(&mut self, ix: u32, kind: u32, work: f64, fits: u32) {
         let Some(job) = self.jobs.get(&ix).filter(|job| job.is_gang()) else { return };
-        if job.awaited(&self.params) {
+        if job.has_start_aim(&self.params) {
             let (at, class) = (job.known_at, job.spec.class.clone());
             let image = job.image;
             let new = || Gangs { since: at, ..Gangs::default() };
-            let gangs = self.know.standby.gangs.entry((kind, class)).or_insert_with(new);
+            let gangs = self.cluster.standby.gangs.entry((kind, class)).or_insert_with(new);
             gangs.images.insert(image);
             gangs.work = gangs.work * (-(at - gangs.at).max(0.0) / GANGS_S).exp() + work;
             gangs.largest = gangs.largest.max(f64::from(job.spec.tasks) / f64::from(fits));
@@ -74,7 +74,7 @@
     /// Keeps ordinary machines in each zone for gangs that should start at once: room for
     /// a whole gang would be late if it had to be gathered, and so would the image.
     pub(super) fn keep_standby(&mut self, now: f64) {
-        let standby = &mut self.know.standby;
+        let standby = &mut self.cluster.standby;
         standby.gangs.retain(|_, gangs| now - gangs.at < GANGS_S);
         let mut wanted: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
         let mut images: BTreeSet<u32> = BTreeSet::new();
@@ -86,7 +86,7 @@
         }
         standby.machines.clear();
         let mut pools: BTreeMap<(u32, u32), Vec<u32>> = BTreeMap::new();
-        let machines = &mut self.know.machines;
+        let machines = &mut self.cluster.machines;
         for (ix, machine) in &*machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let usable = !machine.spot && !machine.leaving() && machine.heard_at.is_some();
@@ -109,7 +109,7 @@
             });
             let count = count.max(had.min(count + STANDBY_SPARE));
             kept.extend(pool.into_iter().take(count));
-            *self.know.standby.machines.entry(kind).or_default() += count as u32;
+            *self.cluster.standby.machines.entry(kind).or_default() += count as u32;
         }
         for (ix, machine) in machines {
             machine.standby = kept.contains(ix);
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -11,7 +11,7 @@
     cloud::{CloudCall, CloudOutcome},
     election::Election,
     keys::{self, LeaderRecord},
-    leader::{DirectCall, DirectOutcome, Knowledge, Leader},
+    leader::{ClusterState, DirectCall, DirectOutcome, Leader},
     metrics::{Latencies, ProcessMetrics},
     options::Options,
     sockets::Sockets,
@@ -204,7 +204,7 @@
     flying: bool,
     not_before: f64,
     /// What is known from leading under a lower token.
-    know: Option<Knowledge>,
+    know: Option<ClusterState>,
 }
 
 /// A change that a user asked for.
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -109,7 +109,7 @@
                 Topic::Job(id) => {
                     if let Some(leader) = &mut self.leader {
                         if change.now.is_some() {
-                            leader.learn_job(&self.world, &id, now);
+                            leader.add_job(&self.world, &id, now);
                         } else {
                             leader.forget_job(&id);
                         }
@@ -117,7 +117,7 @@
                 }
                 Topic::Fate(id) => {
                     if let Some(leader) = &mut self.leader {
-                        leader.learn_fate(&self.world, &id);
+                        leader.apply_final_state(&self.world, &id);
                     }
                 }
                 Topic::Options => {
@@ -133,7 +133,7 @@
                 }
                 Topic::Drain(machine) => {
                     if let Some(leader) = &mut self.leader {
-                        leader.learn_drain(&self.world, &machine);
+                        leader.apply_drain(&self.world, &machine);
                     }
                 }
                 Topic::Other => {}
@@ -171,7 +171,7 @@
         }
         // The same incarnation under a higher token: what it knows of machines holds.
         let know = match (self.leader.take(), self.takeover.take()) {
-            (Some(leader), _) => Some(leader.into_knowledge()),
+            (Some(leader), _) => Some(leader.into_cluster_state()),
             (None, takeover) => takeover.and_then(|takeover| takeover.know),
         };
         // Answers of the cloud are of use to the same knowledge that asked.
