A transaction that is refused as too large is made anew with half as much

The state service answers 400 to a transaction beyond its limits. The leader took any 400 for a lost answer: it asked for a new token, read the log and sent the same again, for ever. For users the whole batch was refused, and came back the same. Now the leader halves the number of changes and the size of segments, and a node the users' batch.

Ruled out: a 400 for a lease; a leader's commit puts nothing on one, and the election, which does, still takes it for that.

--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -34,6 +34,9 @@
 /// Oldest segments that one transaction cleans at most.
 const CLEANED: usize = 3;
 
+/// Bytes of a segment at the least, however little the state service takes: a few rows.
+const MIN_CAPACITY: usize = 256;
+
 /// A slot of the log as it was read.
 #[derive(Debug, Clone)]
 pub struct LogRow {
@@ -83,6 +86,8 @@
     next_seq: u64,
     /// Bytes of a segment.
     capacity: usize,
+    /// Puts and deletes of a transaction.
+    max_ops: usize,
     sent: Option<Sent>,
     not_before: f64,
 }
@@ -120,6 +125,7 @@
             types_version: world.types.as_ref().map_or(0, |(_, version)| *version),
             drain_versions: world.drains.clone(),
             capacity: log::capacity((params.state.value_kb * 1024.0) as usize),
+            max_ops: params.state.txn_ops,
             ..Commits::default()
         }
     }
@@ -151,6 +157,18 @@
         ((bytes / row) as usize).clamp(200, 4000).saturating_sub(self.proposed.len())
     }
 
+    /// A transaction of so many writes was too large: the next ones have half as many, of
+    /// half the size.
+    fn shrink(&mut self, writes: usize) {
+        self.max_ops = (writes / 2).max(1);
+        self.capacity = (self.capacity / 2).max(MIN_CAPACITY);
+        tracing::warn!(
+            max_ops = self.max_ops,
+            bytes = self.capacity,
+            "the state service takes less than its settings say: writing less at once"
+        );
+    }
+
     fn idle(&self) -> bool {
         self.proposed.is_empty()
             && self.released.is_empty()
@@ -235,7 +253,7 @@
             sent: Sent::default(),
             segments: Vec::new(),
             bytes: 0,
-            max_ops: self.params.state.txn_ops.min(level as usize),
+            max_ops: self.commits.max_ops.min(level as usize),
             capacity: self.commits.capacity,
         };
         draft.guard(keys::LEADER.into(), self.token);
@@ -444,6 +462,14 @@
                 self.commits.not_before = now + 0.25;
                 false
             }
+            // A commit puts nothing on a lease, so what was refused is its size: the limits
+            // are lower than the settings say. Nothing was done.
+            Outcome::NoLease => {
+                self.commits.shrink(sent.writes);
+                self.undo(sent);
+                self.commits.not_before = now + 0.25;
+                false
+            }
             Outcome::Conflict(failed) => {
                 let theirs = |key: &String| {
                     [keys::FATE, keys::JOB, keys::DRAIN].iter().any(|own| key.starts_with(own))
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -278,6 +278,8 @@
     /// Transactions of users under way.
     writes_flying: usize,
     writes_not_before: f64,
+    /// Users' changes in one transaction at most.
+    writes_at_once: usize,
     election: Election,
     pub(crate) leader: Option<Leader>,
     takeover: Option<Takeover>,
@@ -364,6 +366,7 @@
             writes: VecDeque::new(),
             writes_flying: 0,
             writes_not_before: 0.0,
+            writes_at_once: params.state.txn_ops,
             election: Election::default(),
             leader: None,
             takeover: None,
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -212,6 +212,18 @@
                     self.writes.push_front(write);
                 }
             }
+            // Too large: the limits are lower than the settings say. Nothing was done, and
+            // what goes in halves may be taken.
+            Outcome::NoLease if writes.len() > 1 => {
+                self.writes_at_once = writes.len() / 2;
+                tracing::warn!(
+                    at_once = self.writes_at_once,
+                    "the state service takes less than its settings say: writing less at once"
+                );
+                for write in writes.into_iter().rev() {
+                    self.writes.push_front(write);
+                }
+            }
             Outcome::Refused | Outcome::NoLease => {
                 for write in writes {
                     self.later(now, write.request, "the state service refuses");
@@ -281,7 +293,7 @@
         if !self.own_writes.has(now, 1.0) {
             return;
         }
-        let most = self.params.state.txn_ops.min(self.own_writes.level(now).max(1.0) as usize);
+        let most = self.writes_at_once.min(self.own_writes.level(now).max(1.0) as usize);
         let (mut txn, mut batch, mut bytes) = (Txn::default(), Vec::new(), 0);
         let mut kept = VecDeque::new();
         while let Some(write) = self.writes.pop_front() {
