A job or a final state that cannot be read stops placing; users are answered 503

A stored job whose value a node cannot read was logged and passed over. Its user was then answered 404, and a new leader took its attempts in the log for attempts of a job that is over: it dropped them and stopped the tasks. A final state that cannot be read was taken for none, so that the job would have been placed again. Now the key is remembered: nobody begins to lead, a leader places nothing, and who asks for the job is told to come back.

Ruled out: passing over the one job alone, since what its tasks take of the team's limit is not known then. Operators' settings that cannot be read still fall back to the usual ones, as documented; no rule hangs on them.

--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -188,6 +188,8 @@
     slow_from: u32,
     salt: u64,
     fence: bool,
+    /// See [`Leader::stop_placing`].
+    placing_stopped: bool,
     /// Machines for which there may be direct commands.
     direct_wanted: BTreeSet<u32>,
     /// Gangs on all of whose machines there may be direct commands.
@@ -263,6 +265,7 @@
             slow_from: 0,
             salt,
             fence: false,
+            placing_stopped: false,
             direct_wanted: BTreeSet::new(),
             direct_gangs: BTreeSet::new(),
             probes_wanted: BTreeSet::new(),
@@ -340,7 +343,8 @@
     pub fn apply_final_state(&mut self, world: &World, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
-        job.final_state = world.fates.get(id).copied();
+        let Some(final_state) = world.fates.get(id).copied() else { return };
+        job.final_state = Some(final_state);
         if !job.called_off {
             let after = world.cancelled_after.get(id).copied();
             job.cancelled_after = after.unwrap_or(f64::NEG_INFINITY);
@@ -715,7 +719,7 @@
             self.find_dead(now, options, zone, heard_zones);
             self.end_cancelled(now);
         }
-        if self.fence {
+        if self.fence || self.placing_stopped {
             return;
         }
         let since = now - self.round_at;
@@ -735,6 +739,12 @@
         }
     }
 
+    /// Places nothing, and makes no room, as long as `stopped` holds: something in the store
+    /// cannot be read. What runs goes on, and cancellations end what they should.
+    pub fn stop_placing(&mut self, stopped: bool) {
+        self.placing_stopped = stopped;
+    }
+
     /// The next request to the cloud, if one is due.
     pub fn next_cloud(&mut self, now: f64) -> Option<CloudCall> {
         self.next_cloud_call(now)
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -59,6 +59,9 @@
             Outcome::Events(events) => {
                 let changes = self.replica.follow(events);
                 self.apply(now, &changes);
+                if let Some(leader) = &mut self.leader {
+                    leader.stop_placing(!self.world.unreadable.is_empty());
+                }
                 self.contact = Some(self.contact.map_or(sent_at, |at| at.max(sent_at)));
                 self.state_down = false;
                 self.lost_syncs = 0;
@@ -237,7 +240,8 @@
             std::mem::take(&mut takeover.rows).into_iter().map(read).collect();
         let (know, salt) = (takeover.know.take(), self.rng.random());
         let leader = match rows {
-            Some(rows) if !self.world.old_layout => {
+            // Attempts of a job that cannot be read would count as attempts of none.
+            Some(rows) if !self.world.old_layout && self.world.unreadable.is_empty() => {
                 let (epoch, params) = (self.epoch, self.params.clone());
                 Leader::new(&self.world, rows, Start { token, now, epoch, params, salt }, know).ok()
             }
@@ -253,7 +257,8 @@
             self.leader = Some(leader);
         } else if let Some(takeover) = &mut self.takeover {
             // Placing without it would start tasks twice. Operators must look.
-            tracing::error!("the log in the state service cannot be read: placing nothing");
+            let keys = &self.world.unreadable;
+            tracing::error!(?keys, "the log in the state service cannot be read: placing nothing");
             takeover.not_before = now + 5.0;
         }
     }
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -134,6 +134,10 @@
                 self.answer_settings(now, request);
                 continue;
             };
+            if self.world.is_unreadable(&id) && !self.world.fates.contains_key(&id) {
+                self.later(now, request, "what is stored of the job cannot be read");
+                continue;
+            }
             let status = api::status(&self.world, &id);
             let open = status.as_ref().is_some_and(|status| !status.state.is_final());
             match (then, status) {
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 
@@ -42,6 +42,9 @@
     pub counts: HashMap<JobId, Counts>,
     /// Whether the store holds assignments in a layout that this version cannot read.
     pub old_layout: bool,
+    /// Keys of jobs and final states whose values cannot be read. As long as there are any,
+    /// nothing is placed and nothing is said of these jobs.
+    pub unreadable: BTreeSet<String>,
     /// Who leads, and the token.
     pub leader: Option<(LeaderRecord, u64)>,
     /// Highest token ever seen.
@@ -92,33 +95,47 @@
         self.fates.get(id) == Some(&JobState::Cancelled) || self.called_off.contains_key(id)
     }
 
+    /// Whether what the store holds of a job cannot be read.
+    pub fn is_unreadable(&self, id: &JobId) -> bool {
+        !self.unreadable.is_empty()
+            && (self.unreadable.contains(&keys::job(id))
+                || self.unreadable.contains(&keys::fate(id)))
+    }
+
+    /// Reads the value behind a key, if there is one, and remembers whether that failed.
+    fn read_or_note<T: DeserializeOwned>(&mut self, change: &Change) -> Option<T> {
+        let value = change.now.as_ref().map(|(value, _)| read(&change.key, value));
+        if matches!(value, Some(None)) {
+            self.unreadable.insert(change.key.clone());
+        } else {
+            self.unreadable.remove(&change.key);
+        }
+        value.flatten()
+    }
+
     /// Takes over a change of the replica that was made after the time `after`.
     pub fn apply(&mut self, change: &Change, after: f64) -> Topic {
         let key = change.key.as_str();
         if let Some(name) = key.strip_prefix(keys::JOB) {
             let Ok(id) = name.parse::<JobId>() else { return Topic::Other };
-            let stored = change.now.as_ref().and_then(|(value, version)| {
-                Some(StoredJob {
-                    spec: Rc::new(read(key, value)?),
-                    version: *version,
-                    accepted_at: value.get(keys::ACCEPTED_AT).and_then(Value::as_f64),
-                })
+            let spec = self.read_or_note::<JobSpec>(change);
+            let stored = change.now.as_ref().zip(spec).map(|((value, version), spec)| StoredJob {
+                spec: Rc::new(spec),
+                version: *version,
+                accepted_at: value.get(keys::ACCEPTED_AT).and_then(Value::as_f64),
             });
-            match stored {
-                Some(stored) => self.jobs.insert(id.clone(), stored),
-                None => {
-                    self.cancelled_after.remove(&id);
-                    self.called_off.remove(&id);
-                    self.jobs.remove(&id)
-                }
-            };
+            if let Some(stored) = stored {
+                self.jobs.insert(id.clone(), stored);
+            } else if change.now.is_none() {
+                self.cancelled_after.remove(&id);
+                self.called_off.remove(&id);
+                self.jobs.remove(&id);
+            }
             return Topic::Job(id);
         }
         if let Some(name) = key.strip_prefix(keys::FATE) {
-            let (Ok(id), Some((value, _))) = (name.parse::<JobId>(), &change.now) else {
-                return Topic::Other;
-            };
-            if let Some(state) = read::<JobState>(key, value) {
+            let Ok(id) = name.parse::<JobId>() else { return Topic::Other };
+            if let Some(state) = self.read_or_note::<JobState>(change) {
                 // The first final state wins, for ever.
                 let first = *self.fates.entry(id.clone()).or_insert(state);
                 if first == JobState::Cancelled && self.jobs.contains_key(&id) {
--- a/crates/gladekeel-testkit/tests/two_versions.rs
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -250,15 +250,15 @@
     }
     rig.run(5);
     let token = rig.node.leader().expect("it leads").token;
-    let poll = |rig: &mut Rig, name: &str| -> JobStatus {
+    let job_status = |rig: &mut Rig, name: &str| -> JobStatus {
         let (status, body) = rig.request("GET", &format!("/api/jobs/{name}"), Vec::new());
         assert_eq!(status, 200, "{name}");
         serde_json::from_slice(&body).unwrap()
     };
-    let gang = poll(&mut rig, "job-g.1");
+    let gang = job_status(&mut rig, "job-g.1");
     assert_eq!((gang.state, gang.running), (JobState::Running, Some(3)));
-    assert_eq!(poll(&mut rig, "job-g_2").running, Some(2));
-    assert_eq!(poll(&mut rig, "job-a-3").state, JobState::Done);
+    assert_eq!(job_status(&mut rig, "job-g_2").running, Some(2));
+    assert_eq!(job_status(&mut rig, "job-a-3").state, JobState::Done);
 
     let mut commands = Vec::new();
     let mut report = |rig: &mut Rig, machine: &str, seq: u64, tasks: Value| {
@@ -281,11 +281,73 @@
     report(&mut rig, "n-000004", 100, done);
     report(&mut rig, "n-000002", 101, whole);
     report(&mut rig, "n-000005", 101, others);
-    assert_eq!(poll(&mut rig, "job-g.1").state, JobState::Done, "one is done, so all are");
-    let gang = poll(&mut rig, "job-g_2");
+    assert_eq!(job_status(&mut rig, "job-g.1").state, JobState::Done, "one is done, so all are");
+    let gang = job_status(&mut rig, "job-g_2");
     assert_eq!((gang.state, gang.running), (JobState::Running, Some(2)));
     let all = commands.iter().chain(&rig.direct);
     let starts: Vec<&Command> =
         all.filter(|command| matches!(command, Command::Start { .. })).collect();
     assert!(starts.is_empty(), "{starts:?}");
 }
+
+/// Submits a job as users do; the status of the answer.
+fn submit(rig: &mut Rig, name: &str) -> u16 {
+    let spec = serde_json::to_vec(&example_job(name)).unwrap();
+    rig.request("POST", "/api/jobs", spec).0
+}
+
+fn poll(rig: &mut Rig, name: &str) -> u16 {
+    rig.request("GET", &format!("/api/jobs/{name}"), Vec::new()).0
+}
+
+/// A job of a kind that this version does not know.
+fn unheard_job(name: &str) -> Value {
+    let mut value = serde_json::to_value(example_job(name)).unwrap();
+    value["build"] = "unheard".into();
+    value
+}
+
+/// Guards against an accepted job that is answered 404, and against a leader that counts
+/// its attempts as attempts of no job: nobody leads until what is stored can be read.
+#[test]
+fn a_stored_job_that_cannot_be_read_stops_a_new_leader() {
+    let mut rig = Rig::new(&[Some(1), Some(1)]);
+    rig.store(&keys::job(&"job-7".parse().unwrap()), unheard_job("job-7"));
+    rig.run(6);
+    assert!(rig.node.leader().is_none(), "its attempts would count as attempts of none");
+    assert_eq!(poll(&mut rig, "job-7"), 503);
+    assert_eq!(submit(&mut rig, "job-7"), 503);
+    let (status, _) = rig.request("POST", "/api/jobs/job-7/cancel", Vec::new());
+    assert_eq!(status, 503);
+    assert_eq!(poll(&mut rig, "job-8"), 404, "other jobs are told of as ever");
+
+    let readable = serde_json::to_value(example_job("job-7")).unwrap();
+    rig.store(&keys::job(&"job-7".parse().unwrap()), readable);
+    rig.run(10);
+    assert!(rig.node.leader().is_some());
+    assert_eq!(poll(&mut rig, "job-7"), 200);
+}
+
+/// Guards against a final state that is guessed: the job may be done, so none of its tasks
+/// may be started, and users must not be told that it waits.
+#[test]
+fn a_final_state_that_cannot_be_read_stops_placing() {
+    let mut rig = Rig::new(&[Some(1), Some(1)]);
+    rig.run(5);
+    assert_eq!(submit(&mut rig, "job-7"), 201);
+    rig.run(5);
+    let rounds = |rig: &Rig| rig.node.leader().expect("it leads on").counts().rounds;
+    assert!(rounds(&rig) > 3);
+    let id: JobId = "job-7".parse().unwrap();
+    rig.store(&keys::fate(&id), "unheard".into());
+    assert_eq!(poll(&mut rig, "job-7"), 503);
+    let before = rounds(&rig);
+    rig.run(10);
+    assert_eq!(rounds(&rig), before, "nothing is placed");
+
+    rig.store(&keys::fate(&id), "done".into());
+    let (status, job) = rig.ask("/api/jobs/job-7/cancel", Vec::new());
+    assert_eq!((status, job.state), (200, JobState::Done));
+    rig.run(5);
+    assert!(rounds(&rig) > before, "placing goes on");
+}
