--- a/crates/gladekeel-testkit/examples/playground.rs
+++ b/crates/gladekeel-testkit/examples/playground.rs
@@ -3,7 +3,10 @@
 //!
 //! Machines boot in five seconds, an image takes a second for each GB. Nothing is kept.
 
-use gladekeel_controller::cloud::{CloudCall, CloudOutcome};
+use gladekeel_controller::{
+    cloud::{CloudCall, CloudOutcome},
+    keys,
+};
 use gladekeel_http::{Client, Limits, Request, Response, Server};
 use gladekeel_store::{Call, Outcome};
 use gladekeel_testkit::{
@@ -14,10 +17,10 @@
     worker::Worker,
 };
 use gladekeel_wire::{
-    TaskId,
+    JobId, TaskId,
     cloud::{MachineNames, MachineType, MachineTypes},
     job::JobSpec,
-    state::{Lease, NewLease, TxnAnswer},
+    state::{Lease, NewLease, Txn, TxnAnswer, Write},
     worker::{Direct, Redirect, Report, ReportAnswer},
 };
 use serde::Serialize;
@@ -56,6 +59,8 @@
     cloud: RefCell<Cloud>,
     workers: RefCell<BTreeMap<String, Worker>>,
     gangs: RefCell<Gangs>,
+    /// Jobs that were submitted: workers fetch descriptions without asking the state service.
+    jobs: RefCell<BTreeMap<JobId, JobSpec>>,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -159,6 +164,7 @@
         cloud: RefCell::new(Cloud::new(types, capacity, 4.0)),
         workers: RefCell::default(),
         gangs: RefCell::new(Gangs::new(GANG_PEER_S)),
+        jobs: RefCell::default(),
     });
     let limits = Limits::for_connections(1000);
     let cloud = Server::new(TcpListener::bind(("127.0.0.1", CLOUD)).await?, limits);
@@ -225,7 +231,11 @@
             _ => None,
         };
         let Some(call) = call else { return Response::text(400, "malformed\n") };
-        match self.state.borrow_mut().call(self.now(), 0, &call) {
+        let outcome = self.state.borrow_mut().call(self.now(), 0, &call);
+        if let (Call::Commit(txn), Outcome::Committed(_)) = (&call, &outcome) {
+            self.keep_jobs(txn);
+        }
+        match outcome {
             Outcome::Rows(rows) => json(200, &rows),
             Outcome::Events(events) => json(200, &events),
             Outcome::TooOld => Response::text(410, "too old\n"),
@@ -272,14 +282,19 @@
         }
     }
 
-    /// A job as the store has it: workers fetch descriptions themselves.
+    /// Keeps the descriptions of jobs that a transaction has stored.
+    fn keep_jobs(&self, txn: &Txn) {
+        for write in &txn.writes {
+            let Write::Put { key, value, .. } = write else { continue };
+            let id = key.strip_prefix(keys::JOB).and_then(|name| name.parse().ok());
+            if let (Some(id), Ok(spec)) = (id, serde_json::from_value(value.clone())) {
+                self.jobs.borrow_mut().insert(id, spec);
+            }
+        }
+    }
+
     fn spec(&self, task: &TaskId) -> Option<JobSpec> {
-        let call = Call::List { prefix: format!("gk/job/{}", task.job), after: None };
-        let Outcome::Rows(rows) = self.state.borrow_mut().call(self.now(), 0, &call) else {
-            return None;
-        };
-        let row = rows.items.into_iter().find(|row| row.key.ends_with(task.job.as_str()))?;
-        serde_json::from_value(row.value).ok()
+        self.jobs.borrow().get(&task.job).cloned()
     }
 
     /// Boots a machine and runs its worker until the machine is gone.
