A gang that would have to be in one zone and may not be is refused with 422

A gang, or a service, whose tasks may not all be in one zone was accepted although it asked for one zone, or all machines that fit were in one: it waited for ever. It can never run, so it gets 422 now. What the cloud has just now plays no part, and arrays are accepted as before, since their tasks need not be there at the same time.

--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -7,10 +7,12 @@
 use gladekeel_sched::Room;
 use gladekeel_wire::{
     JobId,
+    cloud::{MachineType, MachineTypes},
     job::{ErrorBody, JobSpec, JobState, JobStatus, Kind},
     settings::Params,
 };
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 /// A response, without its transport.
 #[derive(Debug, Clone, PartialEq)]
@@ -136,12 +138,30 @@
     }
     let Some((types, _)) = &world.types else { return Verdict::Unknown };
     let task = Room::taken(spec.cpus, spec.gpus, spec.memory_gb);
-    let fits = types.types.iter().any(|t| {
+    let allowed = allowed_types(types, spec, task);
+    if allowed.is_empty() {
+        return Verdict::Never("a task fits no allowed machine type".into());
+    }
+    if spec.spread && at_once > 1.0 && (spec.one_zone || zones_of(&allowed, spec).len() == 1) {
+        return Verdict::Never("all tasks are in one zone, and at most half of them may be".into());
+    }
+    Verdict::Fine
+}
+
+/// The machine types that a task may run on and fits, whatever the cloud has of them now.
+fn allowed_types<'a>(types: &'a MachineTypes, spec: &JobSpec, task: Room) -> Vec<&'a MachineType> {
+    let allowed = types.types.iter().filter(|t| {
         spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
             && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
-            && task.fits(Room::offered(t.cpus, t.gpus, t.memory_gb))
     });
-    if fits { Verdict::Fine } else { Verdict::Never("a task fits no allowed machine type".into()) }
+    allowed.filter(|t| task.fits(Room::offered(t.cpus, t.gpus, t.memory_gb))).collect()
+}
+
+/// The zones in which a job's tasks may be.
+fn zones_of<'a>(types: &[&'a MachineType], spec: &JobSpec) -> BTreeSet<&'a str> {
+    let zones = types.iter().flat_map(|machine_type| &machine_type.zones);
+    let allowed = zones.filter(|zone| spec.zone.as_ref().is_none_or(|only| only == *zone));
+    allowed.map(String::as_str).collect()
 }
 
 #[cfg(test)]
