Leader: replay, release, gangs, job changes, status, preemption have a module each

mod.rs held the leader's whole life in 770 lines; it is left with the type, its beginning and its tick. rounds.rs keeps placing, commit.rs the outcome of transactions, with the making of the next one in a child module, which alone sees its parts. Functions were moved as they were.

--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/commit/draft.rs
@@ -0,0 +1,233 @@
+//! Putting the next transaction together: what goes into it, and into which segments.
+
+use super::{Sent, SentSegment};
+use crate::{
+    keys,
+    leader::{Leader, Phase},
+    log::{self, Writer},
+};
+use gladekeel_wire::{
+    job::JobState,
+    state::{Guard, Txn, Write},
+};
+use serde::Serialize;
+
+/// Bytes of a transaction; the store takes 64 KiB.
+const MAX_TXN: usize = 56 * 1024;
+/// Segments in use from which on the oldest ones are cleaned.
+const LONG_LOG: usize = 256;
+/// Oldest segments that one transaction cleans at most.
+const CLEANED: usize = 3;
+
+/// A transaction in the making.
+pub(super) struct Draft {
+    pub txn: Txn,
+    pub sent: Sent,
+    segments: Vec<(Writer, SentSegment)>,
+    bytes: usize,
+    max_ops: usize,
+    capacity: usize,
+}
+
+impl Draft {
+    /// An empty one, for so many operations and segments of so many bytes.
+    pub fn new(max_ops: usize, capacity: usize) -> Draft {
+        Draft {
+            txn: Txn::default(),
+            sent: Sent::default(),
+            segments: Vec::new(),
+            bytes: 0,
+            max_ops,
+            capacity,
+        }
+    }
+
+    /// Whether so many more operations are allowed.
+    pub fn allows(&self, ops: usize) -> bool {
+        self.ops() + ops <= self.max_ops
+    }
+
+    /// How many operations it has.
+    pub fn ops(&self) -> usize {
+        self.txn.writes.len() + self.segments.len()
+    }
+
+    fn fits(&self, ops: usize) -> bool {
+        self.allows(ops) && self.bytes + self.segments.len() * self.capacity * 4 / 3 < MAX_TXN
+    }
+
+    /// A segment with room for so many bytes more.
+    fn segment(&mut self, bytes: usize) -> Option<&mut (Writer, SentSegment)> {
+        let full =
+            self.segments.last().is_none_or(|(writer, _)| writer.size() + bytes > self.capacity);
+        if full {
+            let size = self.capacity * 4 / 3;
+            let first = self.segments.is_empty();
+            if !self.fits(1) || (!first && self.bytes + (self.segments.len() + 1) * size > MAX_TXN)
+            {
+                return None;
+            }
+            self.segments.push(Default::default());
+        }
+        self.segments.last_mut()
+    }
+
+    pub fn guard(&mut self, key: String, version: u64) {
+        self.bytes += key.len() + 40;
+        self.txn.guards.push(Guard { key, version });
+    }
+
+    fn put<T: Serialize>(&mut self, key: String, version: u64, value: &T) {
+        let value = serde_json::to_value(value).expect("stored types always serialise");
+        self.bytes += key.len() + value.to_string().len() + 40;
+        self.guard(key.clone(), version);
+        self.txn.writes.push(Write::Put { key, value, lease: None });
+    }
+
+    fn delete(&mut self, key: String, version: u64) {
+        self.bytes += key.len() + 20;
+        self.guard(key.clone(), version);
+        self.txn.writes.push(Write::Delete { key });
+    }
+}
+
+impl Leader {
+    /// Gives the draft's segments their slots.
+    pub(super) fn seal(&mut self, draft: &mut Draft) {
+        for (writer, mut segment) in std::mem::take(&mut draft.segments) {
+            (segment.slot, segment.version) = self.commits.free.pop_front().unwrap_or_else(|| {
+                self.commits.slots += 1;
+                (self.commits.slots - 1, 0)
+            });
+            segment.seq = self.commits.next_seq;
+            self.commits.next_seq += 1;
+            let (key, text) = (keys::log(segment.slot), writer.encode(segment.seq));
+            draft.put(key.clone(), segment.version, &text);
+            draft.sent.mark.get_or_insert((key, text));
+            draft.sent.segments.push(segment);
+        }
+        draft.sent.writes = draft.txn.writes.len();
+    }
+
+    /// Adds releases; tells whether all of them fit.
+    pub(super) fn draft_released(&self, draft: &mut Draft) -> bool {
+        for id in &self.commits.released {
+            let Some(attempt) = self.attempts.get(*id) else { continue };
+            let Phase::Releasing(end) = attempt.phase else { continue };
+            let job = self.job_names.name(attempt.job);
+            let Some((writer, segment)) = draft.segment(log::row_bytes(job, "")) else {
+                return false;
+            };
+            writer.release(job, attempt.index, *id, end);
+            if end != log::End::Again {
+                let chunk = (attempt.job, attempt.index / keys::CHUNK);
+                if segment.chunks.last() != Some(&chunk) {
+                    segment.chunks.push(chunk);
+                }
+            }
+            draft.sent.released.push(*id);
+        }
+        true
+    }
+
+    /// Adds jobs that are done; tells whether all of them fit.
+    pub(super) fn draft_finished(&self, draft: &mut Draft) -> bool {
+        for ix in &self.commits.finished {
+            let Some(job) = self.jobs.get(ix).filter(|job| job.final_state.is_none()) else {
+                continue;
+            };
+            if !draft.fits(1) {
+                return false;
+            }
+            draft.guard(keys::job(&job.id), job.version);
+            draft.put(keys::fate(&job.id), 0, &JobState::Done);
+            draft.sent.final_states.push(*ix);
+        }
+        true
+    }
+
+    fn draft_assigned(&self, draft: &mut Draft, id: u64) -> bool {
+        let Some(attempt) = self.attempts.get(id) else { return true };
+        let job = self.job_names.name(attempt.job);
+        let machine = self.cluster.machine_names.name(attempt.machine);
+        let Some((writer, segment)) = draft.segment(log::row_bytes(job, machine)) else {
+            return false;
+        };
+        writer.assign(job, attempt.index, machine, attempt.session, id);
+        segment.attempts.push(id);
+        true
+    }
+
+    pub(super) fn draft_proposed(&self, draft: &mut Draft) -> bool {
+        for id in &self.commits.proposed {
+            if !self.draft_assigned(draft, *id) {
+                return false;
+            }
+            draft.sent.proposed.insert(*id);
+        }
+        true
+    }
+
+    /// Tells again what still counts of the oldest segments, once there are many.
+    pub(super) fn draft_cleaning(&self, draft: &mut Draft) {
+        // A log that holds much that counts may be longer.
+        let live = self.attempts.len() * 48 / self.commits.capacity.max(1);
+        let long = LONG_LOG.max(4 * live);
+        let over = self.commits.segments.len().saturating_sub(long).min(CLEANED);
+        for old in self.commits.segments.iter().take(over) {
+            for id in &old.attempts {
+                let counts = self.assigns(old.seq, *id) && !self.commits.released.contains(id);
+                if counts && !self.draft_assigned(draft, *id) {
+                    return;
+                }
+            }
+            for (ix, chunk) in &old.chunks {
+                let told = draft.segments.iter().any(|(_, s)| s.whole.contains(&(*ix, *chunk)));
+                if told || !self.tells(old.seq, *ix, *chunk) {
+                    continue;
+                }
+                let Some(job) = self.jobs.get(ix) else { continue };
+                let Some((writer, segment)) = draft.segment(log::PROGRESS_BYTES) else { return };
+                let (done, restarted) = (job.done.chunk(*chunk), job.restarted.chunk(*chunk));
+                writer.progress(&job.id, *chunk, done, restarted);
+                segment.chunks.push((*ix, *chunk));
+                segment.whole.push((*ix, *chunk));
+            }
+        }
+    }
+
+    pub(super) fn draft_clearing(&self, draft: &mut Draft) {
+        if let Some(types) = &self.commits.types {
+            draft.put(keys::TYPES.into(), self.commits.types_version, types);
+            draft.sent.types = true;
+        }
+        for machine in &self.commits.drains {
+            if draft.fits(1) {
+                let version = self.commits.drain_versions.get(machine).copied().unwrap_or(0);
+                draft.delete(keys::drain(machine), version);
+                draft.sent.drains.push(machine.clone());
+            }
+        }
+        for ix in &self.commits.cleared {
+            let Some(job) = self.jobs.get(ix) else { continue };
+            if !draft.fits(1) {
+                return;
+            }
+            draft.delete(keys::job(&job.id), job.version);
+            draft.sent.cleared.push(*ix);
+        }
+    }
+
+    /// Whether a segment is the newest one that assigns an attempt.
+    pub(super) fn assigns(&self, seq: u64, id: u64) -> bool {
+        self.attempts.get(id).is_some_and(|attempt| attempt.logged == seq)
+    }
+
+    /// Whether what a segment tells of a chunk is told by no newer one.
+    pub(super) fn tells(&self, seq: u64, job: u32, chunk: u32) -> bool {
+        self.jobs.get(&job).is_some_and(|job| {
+            job.final_state.is_none()
+                && job.progress_segment.get(&chunk).is_none_or(|told| *told <= seq)
+        })
+    }
+}
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,32 +1,22 @@
-//! A round of decisions: restarts, placements, preemption.
+//! A round of placements.
 
-use super::{Attempt, Job, Leader, Phase, StopReason, attempt::Outcome};
+use super::{Attempt, Leader, Phase};
 use crate::options::Options;
-use gladekeel_sched::{
-    place,
-    preempt::{Victim, Victims},
-    restart,
-};
-use gladekeel_wire::{job::Kind, worker::TaskState};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use gladekeel_sched::place;
+use gladekeel_wire::job::Kind;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// One in so many machines may have tasks stopped for others in a round.
-const STOPPING: usize = 20;
 /// A job that has waited for longer with nothing on any machine goes first.
 const PATIENCE_S: f64 = 60.0;
 /// A job that has waited for longer with nothing on any machine may use what is kept for
 /// gangs.
 const STARVED_S: f64 = 75.0;
-/// Gangs for which room is sought among what could be stopped, in one round.
-const GANGS_AT_ONCE: usize = 4;
-/// Rounds in which the search for slow machines comes around.
-const SLOW_ROUNDS: usize = 5;
 
 /// A round with the leader's indices beside its own.
-struct RoundInput {
-    round: place::Round,
-    jobs: Vec<u32>,
-    machines: Vec<u32>,
+pub(super) struct RoundInput {
+    pub round: place::Round,
+    pub jobs: Vec<u32>,
+    pub machines: Vec<u32>,
 }
 
 impl Leader {
@@ -68,7 +58,7 @@
     }
 
     /// The round as things are; full machines are in it only if `full`.
-    fn round_input(&self, now: f64, full: bool) -> RoundInput {
+    pub(super) fn round_input(&self, now: f64, full: bool) -> RoundInput {
         let most = self.commits.batch(&self.params);
         let mut input = RoundInput {
             round: place::Round { most, teams: self.teams.clone(), ..Default::default() },
@@ -205,272 +195,4 @@
         self.changed_counts.insert(job_ix);
         tracing::debug!(job = %job.id, index, machine = machine.name, cached, now, "placed");
     }
-
-    /// Stops tasks that are slow on machines where everything is. Looks at some of the
-    /// machines each time.
-    pub(super) fn restart_slow(&mut self, now: f64, options: &Options) {
-        let some = self.cluster.machines.len() / SLOW_ROUNDS + 1;
-        let mut range = self.cluster.machines.range(self.slow_from..);
-        let machines: Vec<u32> = range.by_ref().take(some).map(|(ix, _)| *ix).collect();
-        self.slow_from = range.next().map_or(0, |(ix, _)| *ix);
-        let mut ids = Vec::new();
-        let mut runs = Vec::new();
-        let mut medians: HashMap<u32, Option<f64>> = HashMap::new();
-        for id in machines.iter().flat_map(|ix| &self.cluster.machines[ix].attempts) {
-            let Some(attempt) = self.attempts.get(*id) else { continue };
-            let (Some(since), Phase::Live) = (attempt.run_since, attempt.phase) else { continue };
-            let Some(job) = self.jobs.get(&attempt.job) else { continue };
-            let median = *medians.entry(attempt.job).or_insert_with(|| job.median());
-            ids.push(*id);
-            runs.push(restart::Run {
-                machine: attempt.machine,
-                ran_s: now - since,
-                median_s: median,
-                may_restart: job.spec.kind == Kind::Array
-                    && attempt.stop.is_none()
-                    && !job.restarted.has(attempt.index)
-                    && attempt.seen == Some(TaskState::Running),
-            });
-        }
-        for slow in restart::slow(&runs, options.restart_multiple) {
-            let id = ids[slow];
-            self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Slow));
-            if let Some(attempt) = self.attempts.get(id) {
-                self.direct_wanted.insert(attempt.machine);
-                let (job, machine) = (
-                    self.job_names.name(attempt.job),
-                    self.cluster.machine_names.name(attempt.machine),
-                );
-                tracing::info!(%job, index = attempt.index, machine, ran_s = runs[slow].ran_s, "slow: starts anew");
-            }
-        }
-    }
-
-    /// Stops tasks for others that have a better claim and found no room.
-    pub(super) fn make_room(&mut self, now: f64, options: &Options) {
-        let first = options.preempt_after_s.min(options.preempt_saving_after_s);
-        let waited = |leader: &Leader, ix: u32| {
-            let job = leader.jobs.get(&ix)?;
-            (now >= job.hold_until && !job.pending.is_empty()).then_some(now - job.waits_since?)
-        };
-        let waiting = |leader: &Leader, ix: u32| {
-            let hurried = leader
-                .jobs
-                .get(&ix)
-                .is_some_and(|job| job.hurried(&leader.params, leader.fetch_s(job), now));
-            waited(leader, ix).is_some_and(|s| s >= first || hurried)
-        };
-        let open = self.jobs.iter().filter(|(_, job)| !job.over());
-        let lowest = open.clone().map(|(_, job)| job.spec.priority as u8).min();
-        // Somebody must wait, and either have a higher priority or lack a guarantee.
-        let claims = open.filter(|(ix, job)| {
-            let team = &self.teams[job.team as usize];
-            waiting(self, **ix)
-                && (Some(job.spec.priority as u8) > lowest || team.guarantees(job.room))
-        });
-        if claims.count() == 0 {
-            return;
-        }
-        // What is being stopped already counts as free: it will be.
-        let mut input = self.round_input(now, true);
-        let most = (input.machines.len() / STOPPING).max(8);
-        let index: HashMap<u32, usize> =
-            input.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
-        let (mut victims, mut whole) = (Vec::new(), BTreeMap::new());
-        let mut heard = BTreeMap::new();
-        for (id, attempt) in self.attempts.iter() {
-            let Some(at) = index.get(&attempt.machine) else { continue };
-            let job = &self.jobs[&attempt.job];
-            if attempt.stop.is_some() || matches!(attempt.phase, Phase::Releasing(_)) {
-                input.round.machines[*at].free += attempt.room;
-                input.round.teams[job.team as usize].used -= attempt.room;
-            } else if attempt.phase == Phase::Live
-                // What was stopped before would never get anywhere.
-                && !job.displaced.has(attempt.index)
-            {
-                let ran = attempt.run_since.map_or(0.0, |since| now - since);
-                let saved = job.spec.checkpoint_s;
-                let victim = Victim {
-                    id,
-                    machine: *at,
-                    team: job.team,
-                    priority: job.spec.priority as u8,
-                    task: attempt.room,
-                    // What was saved is not lost. Work counts by the room it takes.
-                    loss: if saved > 0.0 { ran % saved } else { ran } * job.spec.cpus,
-                    saves: saved > 0.0,
-                };
-                if !job.is_gang() {
-                    victims.push(victim);
-                } else if job.pending.is_empty() && self.all_heard(attempt.job, now, &mut heard) {
-                    // One task of a gang cannot be stopped without all.
-                    let loss = victim.loss * f64::from(job.spec.tasks);
-                    whole
-                        .entry((attempt.job, *at))
-                        .and_modify(|all: &mut Victim| all.task += attempt.room)
-                        .or_insert(Victim { loss, ..victim });
-                }
-            }
-        }
-        let mut victims = Victims::new(input.machines.len(), victims);
-        input.round.place(&options.hopper);
-        let (mut stopped, mut gangs) = (Vec::new(), 0);
-        for at in input.round.order() {
-            let ix = input.jobs[at];
-            let job = &input.round.jobs[at];
-            if job.pending == 0 || stopped.len() >= most || !waiting(self, ix) {
-                continue;
-            }
-            // Tasks that lose little are stopped soon, others after a longer wait.
-            let patient = waited(self, ix).unwrap_or(0.0) < options.preempt_after_s;
-            if job.gang {
-                if job.pending == job.remaining && gangs < GANGS_AT_ONCE {
-                    gangs += 1;
-                    let left = most - stopped.len();
-                    stopped.extend(victims.stop_for_gang(&mut input.round, at, left, patient));
-                }
-                continue;
-            }
-            let hurried = job.hurried;
-            stopped.extend(victims.stop_for(&mut input.round, at, most - stopped.len(), patient));
-            if hurried
-                && input.round.jobs[at].pending > 0
-                && stopped.len() < most
-                && let Some(job) = self.jobs.get_mut(&ix)
-            {
-                job.unhurried = true;
-                self.round_wanted = true;
-            }
-        }
-        if stopped.is_empty() {
-            // Gangs are stopped last, one at a time, and each as a whole.
-            let mut whole = Victims::new(input.machines.len(), whole.into_values());
-            let order = input.round.order();
-            let claimant = order.into_iter().find(|at| {
-                let waited = waited(self, input.jobs[*at]).unwrap_or(0.0);
-                let job = &input.round.jobs[*at];
-                job.pending > 0 && !job.gang && waited >= options.preempt_after_s
-            });
-            if let Some(at) = claimant
-                && let Some(id) = whole.stop_for(&mut input.round, at, 1, false).first()
-            {
-                let Some(ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { return };
-                self.cluster.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
-                if let Some(job) = self.jobs.get_mut(&ix) {
-                    (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
-                }
-                tracing::info!(job = %self.job_names.name(ix), "a gang is stopped to make room");
-                self.stop_gang(ix, StopReason::Preempted);
-            }
-        }
-        for id in stopped {
-            self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
-            if let Some(attempt) = self.attempts.get(id) {
-                self.direct_wanted.insert(attempt.machine);
-                self.cluster.counts.preemptions += 1;
-                if let Some(job) = self.jobs.get_mut(&attempt.job) {
-                    job.displaced.add(attempt.index);
-                }
-                let job = self.job_names.name(attempt.job);
-                tracing::info!(%job, index = attempt.index, "stopped to make room");
-            }
-        }
-    }
-
-    /// Looks after machines that went away and tasks that must leave.
-    pub(super) fn watch_machines(&mut self, now: f64) {
-        let (mut release, mut withdraw, mut stop) = (Vec::new(), Vec::new(), Vec::new());
-        self.cluster
-            .leaving
-            .retain(|ix| self.cluster.machines.get(ix).is_some_and(|m| m.leaving()));
-        let mut taken = Vec::new();
-        let mut heard = BTreeMap::new();
-        for ix in &self.cluster.leaving {
-            let Some(machine) = self.cluster.machines.get(ix) else { continue };
-            // The cloud takes it: what is left on it is lost, and to know that for
-            // certain it is deleted.
-            let over = machine.leaves_at.is_some_and(|at| now >= at || machine.attempts.is_empty());
-            if over && machine.delete.is_none() {
-                taken.push(*ix);
-            }
-            for id in &machine.attempts {
-                match self.attempts.get(*id) {
-                    Some(attempt) if attempt.phase == Phase::Proposed => withdraw.push(*id),
-                    Some(_) if machine.gone => release.push(*id),
-                    Some(attempt)
-                        if attempt.stop.is_none() && self.must_leave(now, attempt, &mut heard) =>
-                    {
-                        stop.push(*id);
-                    }
-                    _ => {}
-                }
-            }
-        }
-        for ix in taken {
-            if let Some(machine) = self.cluster.machines.get_mut(&ix) {
-                tracing::info!(
-                    machine = machine.name,
-                    tasks = machine.attempts.len(),
-                    "taken: deleted"
-                );
-                machine.delete = Some("taken");
-            }
-        }
-        for id in stop {
-            let job = self.attempts.get(id).map(|attempt| attempt.job);
-            if let Some(job) = job.filter(|job| self.jobs.get(job).is_some_and(Job::is_gang)) {
-                self.stop_gang(job, StopReason::Drained);
-            } else {
-                let machine = self.attempts.update(id, |attempt| {
-                    attempt.stop = Some(StopReason::Drained);
-                    attempt.machine
-                });
-                self.direct_wanted.extend(machine);
-            }
-        }
-        self.withdraw(&withdraw, now);
-        for id in release {
-            self.release(id, Outcome::Again);
-        }
-    }
-
-    /// Whether a task on a machine that is on its way out should be stopped: while it
-    /// still can save, or since it will not complete before the machine is taken and
-    /// is better begun anew at once.
-    fn must_leave(&self, now: f64, attempt: &Attempt, heard: &mut BTreeMap<u32, bool>) -> bool {
-        let (Some(machine), Some(job)) =
-            (self.cluster.machines.get(&attempt.machine), self.jobs.get(&attempt.job))
-        else {
-            return false;
-        };
-        let Some(left_s) = machine.leaves_at.map(|at| at - now) else {
-            return machine.drained
-                && job.spec.checkpoint_s > 0.0
-                && attempt.seen.is_some()
-                && (!job.is_gang() || self.all_heard(attempt.job, now, heard));
-        };
-        let run_s = job.median().unwrap_or_else(|| self.expected_run(job));
-        let ran = attempt.run_since.map_or(0.0, |since| now - since);
-        let too_long = run_s - ran > left_s - 0.5;
-        if !job.is_gang() || job.spec.checkpoint_s == 0.0 {
-            return too_long;
-        }
-        // A gang with too little time to save would fall back to its last checkpoint by
-        // being stopped as by losing the machine; running on it may reach another one.
-        too_long
-            && left_s > job.grace(StopReason::Drained)
-            && self.all_heard(attempt.job, now, heard)
-    }
-
-    /// Whether all machines of a gang are heard, so that a stop reaches all its tasks.
-    /// `heard` keeps the answers that were worked out at the same time already.
-    fn all_heard(&self, job_ix: u32, now: f64, heard: &mut BTreeMap<u32, bool>) -> bool {
-        let late_s = self.params.workers.late_s();
-        *heard.entry(job_ix).or_insert_with(|| {
-            self.attempts.of_job(job_ix).machines().all(|ix| {
-                let machine = self.cluster.machines.get(&ix);
-                machine.is_some_and(|m| now - m.quiet_since < late_s && m.unheard_answers == 0)
-            })
-        })
-    }
 }
