--- a/crates/gladekeel-sched/tests/gangs.rs
+++ b/crates/gladekeel-sched/tests/gangs.rs
@@ -1,63 +1,15 @@
 //! Gangs: placed whole or not at all, and what is made room and kept for them.
 
+mod common;
+
+use common::{job, machine, room, round, team};
 use gladekeel_sched::{
-    Room,
     fleet::{Need, Plan, Sizer, Sizing, Supply},
-    place::{Job, Machine, Placement, Round, Team},
+    place::{Job, Placement},
     preempt::{Victim, Victims},
     share::Hopper,
 };
 
-fn room(cpus: f64) -> Room {
-    Room::taken(cpus, 0.0, cpus)
-}
-
-fn machine(zone: u32, spot: bool) -> Machine {
-    Machine {
-        whole: room(32.0),
-        free: room(32.0),
-        kind: 0,
-        zone,
-        spot,
-        images: Vec::new(),
-        ready: Vec::new(),
-        fetching: false,
-        open: true,
-        standby: false,
-    }
-}
-
-fn job(team: u32, cpus: f64, tasks: u32) -> Job {
-    Job {
-        team,
-        priority: 1,
-        task: room(cpus),
-        remaining: tasks,
-        pending: tasks,
-        restarts: 0,
-        image: 0,
-        kinds: None,
-        zone: None,
-        one_zone: false,
-        zone_cap: u32::MAX,
-        spot: true,
-        by_zone: Vec::new(),
-        gang: false,
-        completes: false,
-        overdue: 0,
-        hurried: false,
-    }
-}
-
-fn team(guarantee: f64, limit: f64) -> Team {
-    Team { guarantee: room(guarantee), limit: room(limit), used: Room::default() }
-}
-
-fn round(machines: Vec<Machine>, teams: Vec<Team>, jobs: Vec<Job>) -> Round {
-    let whole = machines.iter().fold(Room::default(), |sum, m| sum + m.whole);
-    Round { machines, whole, teams, jobs, most: 1000, looked: 0 }
-}
-
 fn count(placed: &[Placement], job: usize) -> usize {
     placed.iter().filter(|p| p.job == job).count()
 }
