Scheduler: gangs, the round under way and the round's picture have a module each

The search for a gang's machines is three functions with named types in place of one with a tuple of ranks; the index speaks of groups of machines, skipped machines and states of images in place of shelves and what is set aside.

--- a/crates/gladekeel-sched/src/index.rs
+++ b/crates/gladekeel-sched/src/index.rs
@@ -8,7 +8,7 @@
 
 /// Machines of one type and zone, spot or not: a job's rules allow all of them or none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Shelf {
+struct Group {
     kind: u32,
     zone: u32,
     spot: bool,
@@ -17,36 +17,36 @@
 /// Machines by free CPUs, fullest first.
 type Row = BTreeSet<(i64, u32)>;
 
-/// One row a shelf.
+/// One row a group.
 type Rows = Vec<Row>;
 
-/// Which rows a machine was set aside from: how far its fetch is, image, shelf.
+/// Which rows a machine was taken from while it does not fit: the image's state, image, group.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Aside {
-    fetch: Fetch,
+pub(crate) struct Skipped {
+    state: ImageState,
     image: u32,
-    shelf: usize,
+    group: usize,
     key: (i64, u32),
 }
 
 /// Whether a machine has an image.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fetch {
+enum ImageState {
     /// It has, and starts at once.
     Ready,
     /// It fetches it already.
-    Begun,
-    /// It has to, and fetches nothing else.
-    Calm,
-    /// It has to, and the rate is shared.
-    Busy,
+    Fetching,
+    /// It has to fetch it, and fetches nothing else.
+    Absent,
+    /// It has to fetch it, and shares the rate with another fetch.
+    AbsentBusy,
 }
 
-/// Open machines by shelf and image.
+/// Open machines by group and image.
 #[derive(Debug, Default)]
 pub(crate) struct Index {
-    shelves: Vec<Shelf>,
-    shelf_of: Vec<Option<usize>>,
+    groups: Vec<Group>,
+    group_of: Vec<Option<usize>>,
     closed: BTreeSet<usize>,
     calm: Rows,
     busy: Rows,
@@ -68,37 +68,37 @@
             least.memory = least.memory.min(job.task.memory);
         }
         let Some(least) = least else { return Index::default() };
-        let mut numbers: BTreeMap<Shelf, usize> = BTreeMap::new();
-        let mut index = Index { shelf_of: vec![None; machines.len()], ..Index::default() };
+        let mut numbers: BTreeMap<Group, usize> = BTreeMap::new();
+        let mut index = Index { group_of: vec![None; machines.len()], ..Index::default() };
         for (at, machine) in machines.iter().enumerate() {
             // What cannot take the smallest task takes none. Gangs do not come here.
             if !machine.open || machine.standby || !least.fits(machine.free) {
                 continue;
             }
-            let shelf = Shelf { kind: machine.kind, zone: machine.zone, spot: machine.spot };
-            let number = *numbers.entry(shelf).or_insert_with(|| {
-                index.shelves.push(shelf);
-                index.shelves.len() - 1
+            let group = Group { kind: machine.kind, zone: machine.zone, spot: machine.spot };
+            let number = *numbers.entry(group).or_insert_with(|| {
+                index.groups.push(group);
+                index.groups.len() - 1
             });
-            index.shelf_of[at] = Some(number);
+            index.group_of[at] = Some(number);
         }
-        let empty = vec![Row::new(); index.shelves.len()];
+        let empty = vec![Row::new(); index.groups.len()];
         (index.calm, index.busy) = (empty.clone(), empty.clone());
         for image in wanted {
             index.ready.insert(image, empty.clone());
             index.begun.insert(image, empty.clone());
         }
         for (at, machine) in machines.iter().enumerate() {
-            let Some(shelf) = index.shelf_of[at] else { continue };
+            let Some(group) = index.group_of[at] else { continue };
             let key = (machine.free.cpus, at as u32);
             let rows = if machine.fetching { &mut index.busy } else { &mut index.calm };
-            rows[shelf].insert(key);
+            rows[group].insert(key);
             for (rows, images) in
                 [(&mut index.ready, &machine.ready), (&mut index.begun, &machine.images)]
             {
                 for image in images {
                     if let Some(rows) = rows.get_mut(image) {
-                        rows[shelf].insert(key);
+                        rows[group].insert(key);
                     }
                 }
             }
@@ -106,42 +106,44 @@
         index
     }
 
-    fn rows(&mut self, fetch: Fetch, image: u32) -> Option<&mut Rows> {
-        match fetch {
-            Fetch::Ready => self.ready.get_mut(&image),
-            Fetch::Begun => self.begun.get_mut(&image),
-            Fetch::Calm => Some(&mut self.calm),
-            Fetch::Busy => Some(&mut self.busy),
+    fn rows(&mut self, state: ImageState, image: u32) -> Option<&mut Rows> {
+        match state {
+            ImageState::Ready => self.ready.get_mut(&image),
+            ImageState::Fetching => self.begun.get_mut(&image),
+            ImageState::Absent => Some(&mut self.calm),
+            ImageState::AbsentBusy => Some(&mut self.busy),
         }
     }
 
     /// The machine for a job's next task. One that has the image starts at once, and one
-    /// that fetches nothing else starts sooner; then comes the cheap kind; then the fullest, so that whole machines stay free for
-    /// large pieces or can be returned. Machines on the way that do not fit the task
-    /// are set aside; they go back by [`Index::put_back`]. With `cached` only machines
-    /// that have the image or fetch it will do.
+    /// that fetches nothing else starts sooner; then comes the cheap kind; then the fullest,
+    /// so that whole machines stay free for large pieces or can be returned. Machines on the
+    /// way that do not fit the task are skipped; they go back by [`Index::restore`]. With
+    /// `cached` only machines that have the image or fetch it will do.
     pub fn best(
         &mut self,
         job: &Job,
         machines: &[Machine],
         cached: bool,
-        aside: &mut Vec<Aside>,
+        skipped: &mut Vec<Skipped>,
     ) -> Option<usize> {
-        let mut set_aside = 0;
-        for fetch in [Fetch::Ready, Fetch::Begun, Fetch::Calm, Fetch::Busy] {
-            let has = matches!(fetch, Fetch::Ready | Fetch::Begun);
-            if (job.hurried && fetch != Fetch::Ready) || (cached && !has) {
+        let mut skipped_now = 0;
+        for state in
+            [ImageState::Ready, ImageState::Fetching, ImageState::Absent, ImageState::AbsentBusy]
+        {
+            let has = matches!(state, ImageState::Ready | ImageState::Fetching);
+            if (job.hurried && state != ImageState::Ready) || (cached && !has) {
                 break;
             }
             for spot in [true, false] {
                 let mut best: Option<(i64, u32)> = None;
-                for number in 0..self.shelves.len() {
-                    let shelf = self.shelves[number];
-                    if shelf.spot != spot || !job.may_use(shelf.kind, shelf.zone, spot) {
+                for number in 0..self.groups.len() {
+                    let group = self.groups[number];
+                    if group.spot != spot || !job.may_use(group.kind, group.zone, spot) {
                         continue;
                     }
                     self.looked += 1;
-                    let Some(rows) = self.rows(fetch, job.image) else { continue };
+                    let Some(rows) = self.rows(state, job.image) else { continue };
                     let row = &mut rows[number];
                     while let Some(key) = row.range((job.task.cpus, 0)..).next().copied() {
                         if best.is_some_and(|best| best <= key) {
@@ -152,11 +154,11 @@
                             break;
                         }
                         row.remove(&key);
-                        set_aside += 1;
-                        aside.push(Aside { fetch, image: job.image, shelf: number, key });
+                        skipped_now += 1;
+                        skipped.push(Skipped { state, image: job.image, group: number, key });
                     }
                 }
-                self.looked += std::mem::take(&mut set_aside);
+                self.looked += std::mem::take(&mut skipped_now);
                 if let Some((_, at)) = best {
                     return Some(at as usize);
                 }
@@ -165,11 +167,11 @@
         None
     }
 
-    /// Puts machines back that were set aside for one job.
-    pub fn put_back(&mut self, aside: Vec<Aside>) {
-        for Aside { fetch, image, shelf, key } in aside {
-            if let Some(rows) = self.rows(fetch, image) {
-                rows[shelf].insert(key);
+    /// Puts machines back that were skipped for one job.
+    pub fn restore(&mut self, skipped: Vec<Skipped>) {
+        for Skipped { state, image, group, key } in skipped {
+            if let Some(rows) = self.rows(state, image) {
+                rows[group].insert(key);
             }
         }
     }
@@ -182,33 +184,33 @@
     /// A machine takes nothing more.
     pub fn close(&mut self, at: usize, machine: &Machine) {
         self.closed.insert(at);
-        let Some(shelf) = self.shelf_of.get_mut(at).and_then(Option::take) else { return };
+        let Some(group) = self.group_of.get_mut(at).and_then(Option::take) else { return };
         let key = (machine.free.cpus, at as u32);
         let images = self.ready.values_mut().chain(self.begun.values_mut());
         for rows in images.chain([&mut self.calm, &mut self.busy]) {
-            rows[shelf].remove(&key);
+            rows[group].remove(&key);
         }
     }
 
     /// A machine begins to fetch an image.
-    pub fn fetches(&mut self, at: usize, free: Room, image: u32) {
-        let Some(shelf) = self.shelf_of.get(at).copied().flatten() else { return };
+    pub fn begins_fetch(&mut self, at: usize, free: Room, image: u32) {
+        let Some(group) = self.group_of.get(at).copied().flatten() else { return };
         let key = (free.cpus, at as u32);
         if let Some(rows) = self.begun.get_mut(&image) {
-            rows[shelf].insert(key);
+            rows[group].insert(key);
         }
-        if self.calm[shelf].remove(&key) {
-            self.busy[shelf].insert(key);
+        if self.calm[group].remove(&key) {
+            self.busy[group].insert(key);
         }
     }
 
     /// A machine's free room has changed.
-    pub fn moved(&mut self, at: usize, machine: &Machine, before: Room) {
-        let Some(shelf) = self.shelf_of.get(at).copied().flatten() else { return };
+    pub fn free_changed(&mut self, at: usize, machine: &Machine, before: Room) {
+        let Some(group) = self.group_of.get(at).copied().flatten() else { return };
         let (old, new) = ((before.cpus, at as u32), (machine.free.cpus, at as u32));
         let mut update = |rows: &mut Rows| {
-            if rows[shelf].remove(&old) {
-                rows[shelf].insert(new);
+            if rows[group].remove(&old) {
+                rows[group].insert(new);
             }
         };
         update(&mut self.calm);
--- /dev/null
+++ b/crates/gladekeel-sched/src/place/gang.rs
@@ -0,0 +1,152 @@
+//! Places for a whole gang, or none.
+
+use super::placing::{Claimed, Placing};
+use crate::place::{Machine, Placement};
+use std::{cmp::Reverse, collections::BTreeSet};
+
+/// How soon a machine has an image, the soonest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ImageState {
+    /// It has it.
+    Ready,
+    /// It fetches it already.
+    Fetching,
+    /// It has to fetch it, and fetches nothing else.
+    Absent,
+    /// It has to fetch it, and shares the rate with another fetch.
+    AbsentBusy,
+}
+
+/// A machine that can take tasks of a gang. The order of the fields is the order of
+/// preference.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    image: ImageState,
+    /// It is not kept for gangs.
+    shared: bool,
+    /// It is no spot machine.
+    ordinary: bool,
+    /// How many tasks fit. Fewer machines: each may be lost, or turn out to be slow.
+    tasks: Reverse<u32>,
+    free_cpus: i64,
+    /// Its index in the round.
+    machine: usize,
+    zone: u32,
+}
+
+impl Candidate {
+    fn new(at: usize, machine: &Machine, image: u32, tasks: u32) -> Candidate {
+        let image = if machine.ready.contains(&image) {
+            ImageState::Ready
+        } else if machine.images.contains(&image) {
+            ImageState::Fetching
+        } else if machine.fetching {
+            ImageState::AbsentBusy
+        } else {
+            ImageState::Absent
+        };
+        Candidate {
+            image,
+            shared: !machine.standby,
+            ordinary: !machine.spot,
+            tasks: Reverse(tasks),
+            free_cpus: machine.free.cpus,
+            machine: at,
+            zone: machine.zone,
+        }
+    }
+}
+
+/// Machines that hold a whole gang, with how many of its tasks each takes.
+struct Choice {
+    /// The state of the image on the machine that has it last.
+    slowest: ImageState,
+    machines: Vec<(usize, u32)>,
+}
+
+impl Placing<'_> {
+    /// Places all of a gang's tasks, or none.
+    pub(super) fn place_gang(&mut self, index: usize, claimed: Claimed) -> bool {
+        let job = &self.round.jobs[index];
+        // A round that is full takes no more, but one gang may be more than a round.
+        let late =
+            !self.placed.is_empty() && self.placed.len() + job.pending as usize > self.round.most;
+        let team = &self.round.teams[job.team as usize];
+        let all = job.task * i64::from(job.pending);
+        if job.pending == 0
+            || (job.pending < job.remaining && !job.completes)
+            || late
+            || !team.allows(all)
+            || (claimed == Claimed::Guarantee && !team.guarantees(all))
+        {
+            return false;
+        }
+        let Some(chosen) = self.machines_for_gang(index) else { return false };
+        for (machine, tasks) in chosen {
+            for _ in 0..tasks {
+                self.take(index, machine, false);
+                self.placed.push(Placement { job: index, machine });
+            }
+        }
+        true
+    }
+
+    /// The machines for a whole gang, with how many of its tasks each takes; none if it
+    /// does not fit as things are.
+    fn machines_for_gang(&mut self, index: usize) -> Option<Vec<(usize, u32)>> {
+        let candidates = self.gang_candidates(index);
+        if !self.round.jobs[index].one_zone {
+            return self.choose(index, &candidates, None).map(|choice| choice.machines);
+        }
+        let zones: BTreeSet<u32> = candidates.iter().map(|candidate| candidate.zone).collect();
+        let whole =
+            zones.into_iter().filter_map(|zone| self.choose(index, &candidates, Some(zone)));
+        whole.min_by_key(|choice| (choice.slowest, choice.machines.len())).map(|best| best.machines)
+    }
+
+    /// Machines that can take tasks of a gang, the best first.
+    fn gang_candidates(&mut self, index: usize) -> Vec<Candidate> {
+        let job = &self.round.jobs[index];
+        let mut candidates = Vec::new();
+        for (at, machine) in self.round.machines.iter().enumerate() {
+            self.index.looked += 1;
+            if !machine.open || self.index.is_closed(at) || !self.round.allowed(job, machine) {
+                continue;
+            }
+            let tasks = job.task.times_in(machine.free, job.pending);
+            if tasks > 0 {
+                candidates.push(Candidate::new(at, machine, job.image, tasks));
+            }
+        }
+        candidates.sort_unstable();
+        candidates
+    }
+
+    /// Spreads a gang over the best of these machines, within one zone if there is `only`
+    /// one; none if they do not hold all of it.
+    fn choose(&self, index: usize, candidates: &[Candidate], only: Option<u32>) -> Option<Choice> {
+        let job = &self.round.jobs[index];
+        let mut left = job.pending;
+        let mut choice = Choice { slowest: ImageState::Ready, machines: Vec::new() };
+        let mut by_zone = job.by_zone.clone();
+        for candidate in candidates {
+            if left == 0 || only.is_some_and(|only| only != candidate.zone) {
+                continue;
+            }
+            let zone = candidate.zone as usize;
+            if by_zone.len() <= zone {
+                by_zone.resize(zone + 1, 0);
+            }
+            let allowed = job.zone_cap.saturating_sub(by_zone[zone]);
+            let tasks = candidate.tasks.0.min(left).min(allowed);
+            if tasks > 0 {
+                by_zone[zone] += tasks;
+                left -= tasks;
+                choice.machines.push((candidate.machine, tasks));
+                // It starts when the last of its tasks has the image.
+                choice.slowest = choice.slowest.max(candidate.image);
+            }
+        }
+        (left == 0).then_some(choice)
+    }
+}
