--- a/crates/gladekeel-controller/src/leader/cloud_calls.rs
+++ b/crates/gladekeel-controller/src/leader/cloud_calls.rs
@@ -262,7 +262,7 @@
             self.commits.types = Some(types.clone());
         }
         self.catalog.add_types(&types);
-        self.round_wanted = true;
+        self.timers.request_round();
     }
 
     fn on_rented(&mut self, now: f64, rent: &Rent, names: Vec<String>) {
@@ -299,7 +299,7 @@
             self.cluster.cloud.deleted.insert(name.clone(), now);
             self.cluster.cloud.deleted_order.push_back(name.clone());
         }
-        self.round_wanted = true;
+        self.timers.request_round();
         self.watch_machines(now);
     }
 
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -341,11 +341,11 @@
                 (attempt.job, attempt.machine)
             });
             let Some((job_ix, machine)) = live else { continue };
-            self.direct_wanted.insert(machine);
+            self.direct.wanted.insert(machine);
             self.cluster.counts.starts += 1;
             let gang = self.jobs.get(&job_ix).is_some_and(Job::is_gang);
             if gang && self.attempts.of_job(job_ix).uncommitted() == 0 {
-                self.direct_wanted.extend(self.attempts.of_job(job_ix).machines());
+                self.direct.wanted.extend(self.attempts.of_job(job_ix).machines());
             }
         }
         for id in sent.released {
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -9,6 +9,7 @@
     TaskId,
     worker::{Command, Direct, Report, TaskState},
 };
+use std::collections::BTreeSet;
 
 /// Time after which an unanswered `run` is settled by a new token.
 const UNSETTLED_START_S: f64 = 15.0;
@@ -19,6 +20,45 @@
 /// After a lag of this node, for so long missing answers do not count.
 const LAG_COUNTS_S: f64 = 3.0;
 
+/// Direct requests that are to be made, and what is open of those that were.
+#[derive(Debug)]
+pub(super) struct DirectQueue {
+    /// Machines for which there may be direct commands.
+    pub wanted: BTreeSet<u32>,
+    /// Gangs on all of whose machines there may be direct commands.
+    pub gangs: BTreeSet<u32>,
+    /// Machines that are to be asked whether they are there.
+    pub probes_wanted: BTreeSet<u32>,
+    /// How many are being asked, and may be.
+    probing: usize,
+    max_probes: usize,
+    /// Machines to which a direct `run` had no answer: it may still arrive.
+    unsettled_starts: BTreeSet<u32>,
+    /// Machines that did not get the stops that were sent to them directly.
+    undelivered_stops: BTreeSet<u32>,
+}
+
+impl DirectQueue {
+    /// An empty one, for so many calls at once.
+    pub fn new(max_calls: usize) -> DirectQueue {
+        DirectQueue {
+            wanted: BTreeSet::new(),
+            gangs: BTreeSet::new(),
+            probes_wanted: BTreeSet::new(),
+            probing: 0,
+            // Calls to silent machines hang: they must leave room for commands to others.
+            max_probes: max_calls / 2,
+            unsettled_starts: BTreeSet::new(),
+            undelivered_stops: BTreeSet::new(),
+        }
+    }
+
+    /// Sends stops again that were not delivered.
+    pub fn retry_stops(&mut self) {
+        self.wanted.append(&mut self.undelivered_stops);
+    }
+}
+
 /// A request to a worker.
 #[derive(Debug, Clone)]
 pub struct DirectCall {
@@ -54,18 +94,18 @@
 impl Leader {
     /// The next direct command, if one is due.
     pub fn next_direct(&mut self, now: f64, may_start: bool) -> Option<DirectCall> {
-        for job in std::mem::take(&mut self.direct_gangs) {
-            self.direct_wanted.extend(self.attempts.of_job(job).machines());
+        for job in std::mem::take(&mut self.direct.gangs) {
+            self.direct.wanted.extend(self.attempts.of_job(job).machines());
         }
-        while let Some(ix) = self.direct_wanted.pop_first() {
+        while let Some(ix) = self.direct.wanted.pop_first() {
             if let Some(call) = self.direct_for(now, ix, may_start) {
                 return Some(call);
             }
         }
         // Half of the calls at most ask: those of silent machines hang, and commands to
         // others must not wait for them.
-        while self.probing < self.max_probes
-            && let Some(ix) = self.probes_wanted.pop_first()
+        while self.direct.probing < self.direct.max_probes
+            && let Some(ix) = self.direct.probes_wanted.pop_first()
         {
             if let Some(machine) = self.cluster.machines.get_mut(&ix)
                 && !machine.direct_in_flight
@@ -73,7 +113,7 @@
                 && let Some(addr) = machine.addr.clone()
             {
                 machine.direct_in_flight = true;
-                self.probing += 1;
+                self.direct.probing += 1;
                 let (token, starts) = (self.token, Vec::new());
                 return Some(DirectCall { addr, body: None, token, machine: ix, starts });
             }
@@ -127,7 +167,7 @@
         if commands.is_empty() {
             if machine.unheard_answers > 0 && machine.delete.is_none() {
                 // It is asked whether it hears at all.
-                self.probes_wanted.insert(ix);
+                self.direct.probes_wanted.insert(ix);
             }
             return None;
         }
@@ -144,14 +184,14 @@
             return;
         }
         if call.body.is_none() {
-            self.probing = self.probing.saturating_sub(1);
+            self.direct.probing = self.direct.probing.saturating_sub(1);
         }
         let Some(machine) = self.cluster.machines.get_mut(&call.machine) else { return };
         machine.direct_in_flight = false;
         for id in &call.starts {
             if *outcome == DirectOutcome::Unknown {
                 machine.open_starts.entry(*id).and_modify(|since| *since = Some(now));
-                self.unsettled_starts.insert(call.machine);
+                self.direct.unsettled_starts.insert(call.machine);
             } else {
                 machine.open_starts.remove(id);
             }
@@ -162,7 +202,7 @@
             for id in &machine.attempts {
                 if self.attempts.get(*id).is_some_and(|attempt| attempt.stop.is_some()) {
                     self.attempts.update(*id, |attempt| attempt.stop_sent = 0);
-                    self.undelivered_stops.insert(call.machine);
+                    self.direct.undelivered_stops.insert(call.machine);
                 }
             }
         }
@@ -171,11 +211,11 @@
             // It heard.
             DirectOutcome::NotExecuted => machine.unanswered = 0,
             // This node was late itself: that says nothing of the machine.
-            _ if now - self.lagged_at < LAG_COUNTS_S => {}
+            _ if self.timers.lagged_within(LAG_COUNTS_S, now) => {}
             DirectOutcome::NotSent | DirectOutcome::Unknown => {
                 machine.unanswered += 1;
                 if machine.unanswered < MAX_UNANSWERED {
-                    self.probes_wanted.insert(call.machine);
+                    self.direct.probes_wanted.insert(call.machine);
                 } else {
                     machine.mute_since.get_or_insert(now);
                 }
@@ -227,14 +267,14 @@
                 self.on_reported(now, id, reported);
             }
         }
-        self.direct_wanted.insert(call.machine);
+        self.direct.wanted.insert(call.machine);
     }
 
     /// Whether an unanswered `run` needs a new token: its job is cancelled, so that
     /// it must never start, or it has been open for long.
     pub(super) fn has_unsettled_start(&mut self, now: f64) -> bool {
         let mut needed = false;
-        self.unsettled_starts.retain(|ix| {
+        self.direct.unsettled_starts.retain(|ix| {
             let Some(machine) = self.cluster.machines.get(ix).filter(|machine| !machine.gone)
             else {
                 return false;
--- a/crates/gladekeel-controller/src/leader/evacuation.rs
+++ b/crates/gladekeel-controller/src/leader/evacuation.rs
@@ -52,7 +52,7 @@
                     attempt.stop = Some(StopReason::Drained);
                     attempt.machine
                 });
-                self.direct_wanted.extend(machine);
+                self.direct.wanted.extend(machine);
             }
         }
         self.withdraw(&withdraw, now);
--- a/crates/gladekeel-controller/src/leader/job_changes.rs
+++ b/crates/gladekeel-controller/src/leader/job_changes.rs
@@ -34,7 +34,7 @@
             self.count_arrival(ix);
         }
         self.changed_counts.insert(ix);
-        self.round_wanted = true;
+        self.timers.request_round();
     }
 
     /// Applies a final state that is new in the store.
@@ -82,7 +82,7 @@
             return;
         }
         self.ending.insert(ix);
-        self.direct_wanted.extend(self.attempts.of_job(ix).machines());
+        self.direct.wanted.extend(self.attempts.of_job(ix).machines());
         for id in self.attempts.ids_of_job(ix) {
             self.attempts.update(id, |attempt| {
                 attempt.stop = Some(StopReason::Cancelled);
--- a/crates/gladekeel-controller/src/leader/liveness.rs
+++ b/crates/gladekeel-controller/src/leader/liveness.rs
@@ -1,6 +1,6 @@
 //! Which machines are dead, and which may outlast the time that a cancelled job has.
 
-use super::{Leader, Phase, ZoneView};
+use super::{Leader, Phase};
 use crate::options::Options;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -82,12 +82,11 @@
             }
         }
         let any_answered = answered.values().copied().fold(f64::NEG_INFINITY, f64::max);
-        self.reporting = zones.values().map(|(_, all)| all).sum();
+        self.contact.set_reporting(zones.values().map(|(_, all)| all).sum());
         for (zone, (_, all)) in &zones {
             if let Some(zone) = zone {
                 // One that was not heard of yet is given time.
-                let new = ZoneView { reporting: 0, heard_at: now };
-                self.zones.entry(*zone).or_insert(new).reporting = *all;
+                self.contact.set_reporting_of(*zone, *all, now);
             }
         }
         let heard_any = zones.values().any(|(heard, _)| *heard > 0);
@@ -140,7 +139,7 @@
                 // A late one is asked; so is one that was up before this leader began, so
                 // that its tasks are known before its next report.
                 if quiet > ask_s || (machine.heard_at.is_none() && machine.was_up()) {
-                    self.probes_wanted.insert(*ix);
+                    self.direct.probes_wanted.insert(*ix);
                 }
                 // It may report to another node and be well, or a cut may have begun when
                 // it was about to report, or no worker can be reached from here: its silence
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod cloud_calls;
 mod commit;
+mod contact;
 mod direct;
 mod evacuation;
 mod gangs;
@@ -25,6 +26,7 @@
 mod spend;
 mod standby;
 mod status;
+mod timers;
 
 pub use attempt::{Attempt, Phase, StopReason};
 pub use direct::{DirectCall, DirectOutcome};
@@ -44,6 +46,8 @@
 use cloud_calls::CloudCalls;
 use commit::Commits;
 pub use commit::LogRow;
+use contact::Contact;
+use direct::DirectQueue;
 use gladekeel_sched::{Interner, Room, place::Team};
 use gladekeel_wire::{JobId, cloud::MachineTypes, job::MAX_TASKS, settings::Params, state::Txn};
 use sizing::Demand;
@@ -52,19 +56,12 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
+use timers::Timers;
 
 /// Attempts that one token can name; the number of an attempt is the token
 /// times this plus a counter, so that no two leaders ever name the same.
 const ATTEMPTS_PER_TOKEN: u64 = 1 << 24;
 
-/// Ticks come many times a second; one that is later than this is a lag.
-const LAG_S: f64 = 0.5;
-
-/// A zone of which so many reports in a row are missing is out of reach.
-const QUIET_REPORTS: f64 = 30.0;
-/// It is so after this long at the least.
-const QUIET_LEAST_S: f64 = 1.5;
-
 /// What a leader counts.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Counts {
@@ -130,13 +127,6 @@
     }
 }
 
-/// A zone as the leader hears it.
-#[derive(Debug, Default)]
-struct ZoneView {
-    reporting: usize,
-    heard_at: f64,
-}
-
 /// How a leader begins.
 #[derive(Debug)]
 pub struct Start {
@@ -170,43 +160,21 @@
     teams: Vec<Team>,
     commits: Commits,
     next_attempt: u64,
-    round_at: f64,
-    round_wanted: bool,
-    upkeep_at: f64,
+    timers: Timers,
     spend_at: f64,
     spend_told: f64,
-    ticked_at: f64,
-    /// When this node was last late: it had more to do than it has time for.
-    lagged_at: f64,
-    /// When any machine was heard of.
-    heard_at: f64,
-    /// How many machines should report, as of the last look.
-    reporting: usize,
-    /// The same by zone, and when any machine there was heard of.
-    zones: BTreeMap<u32, ZoneView>,
+    contact: Contact,
     /// Where the search for slow machines goes on.
     slow_from: u32,
     salt: u64,
     fence: bool,
     /// See [`Leader::stop_placing`].
     placing_stopped: bool,
-    /// Machines for which there may be direct commands.
-    direct_wanted: BTreeSet<u32>,
-    /// Gangs on all of whose machines there may be direct commands.
-    direct_gangs: BTreeSet<u32>,
-    /// Machines that are to be asked whether they are there.
-    probes_wanted: BTreeSet<u32>,
-    /// How many are being asked, and may be.
-    probing: usize,
-    max_probes: usize,
-    /// Machines to which a direct `run` had no answer: it may still arrive.
-    unsettled_starts: BTreeSet<u32>,
+    direct: DirectQueue,
     /// Jobs whose counts have changed since they were last published.
     changed_counts: BTreeSet<u32>,
     /// Cancelled jobs of which something may still be on a machine.
     ending: BTreeSet<u32>,
-    /// Machines that did not get the stops that were sent to them directly.
-    undelivered_stops: BTreeSet<u32>,
 }
 
 impl Leader {
@@ -252,29 +220,17 @@
             teams,
             commits: Commits::new(&params, world),
             next_attempt: token * ATTEMPTS_PER_TOKEN,
-            round_at: now,
-            round_wanted: true,
-            upkeep_at: now,
+            timers: Timers::new(now),
             spend_at: now,
             spend_told: now,
-            ticked_at: now,
-            lagged_at: now,
-            heard_at: now,
-            reporting: 0,
-            zones: BTreeMap::new(),
+            contact: Contact::new(now, &params.workers),
             slow_from: 0,
             salt,
             fence: false,
             placing_stopped: false,
-            direct_wanted: BTreeSet::new(),
-            direct_gangs: BTreeSet::new(),
-            probes_wanted: BTreeSet::new(),
-            probing: 0,
-            max_probes: Sockets::of(&params.limits).calls / 2,
-            unsettled_starts: BTreeSet::new(),
+            direct: DirectQueue::new(Sockets::of(&params.limits).calls),
             changed_counts: BTreeSet::new(),
             ending: BTreeSet::new(),
-            undelivered_stops: BTreeSet::new(),
             params,
         };
         leader.cluster.renew();
@@ -336,19 +292,9 @@
             || self.next_attempt + 2 * u64::from(MAX_TASKS) > (self.token + 1) * ATTEMPTS_PER_TOKEN
     }
 
-    /// Whether none of a zone's machines is heard although by their number some should
-    /// be: work that is placed there now would wait behind a cut.
-    fn is_quiet(&self, zone: u32, now: f64) -> bool {
-        self.zones.get(&zone).is_some_and(|view| {
-            let workers = &self.params.workers;
-            let due_s = QUIET_REPORTS * workers.report_s / view.reporting.max(1) as f64;
-            now - view.heard_at > due_s.clamp(QUIET_LEAST_S, workers.late_s())
-        })
-    }
-
     /// Machines that should report, and how long none of them has.
     pub fn silence(&self, now: f64) -> (usize, f64) {
-        (self.reporting, now - self.heard_at)
+        self.contact.silence(now)
     }
 
     /// Time at which this token began.
@@ -364,29 +310,22 @@
     /// Decides what is due: a round, the fleet's size. `zone` is the leader's own,
     /// `heard_zones` are those of the controllers that it hears.
     pub fn tick(&mut self, now: f64, options: &Options, zone: &str, heard_zones: &[&str]) {
-        if now - self.ticked_at > LAG_S {
-            self.lagged_at = now;
-        }
-        self.ticked_at = now;
+        self.timers.tick(now);
         self.cluster.counts.attempt_lookups += self.attempts.take_lookups();
         self.watch_machines(now);
         self.fence |= self.has_unsettled_start(now);
         // What looks at every machine is done once a round at the most. Dead machines are
         // found also while a new token is awaited: that may take as long as an outage.
-        let upkeep = now - self.upkeep_at >= options.round_s;
+        let upkeep = self.timers.upkeep_due(now, options);
         if upkeep {
-            self.upkeep_at = now;
-            self.direct_wanted.append(&mut self.undelivered_stops);
+            self.direct.retry_stops();
             self.find_dead(now, options, zone, heard_zones);
             self.end_cancelled(now);
         }
         if self.fence || self.placing_stopped {
             return;
         }
-        let since = now - self.round_at;
-        if since >= options.round_s || (self.round_wanted && since >= options.round_s / 4.0) {
-            self.round_at = now;
-            self.round_wanted = false;
+        if self.timers.round_due(now, options) {
             self.cluster.counts.rounds += 1;
             self.round(now, options);
         }
--- a/crates/gladekeel-controller/src/leader/preemption.rs
+++ b/crates/gladekeel-controller/src/leader/preemption.rs
@@ -47,7 +47,7 @@
             let id = ids[slow];
             self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Slow));
             if let Some(attempt) = self.attempts.get(id) {
-                self.direct_wanted.insert(attempt.machine);
+                self.direct.wanted.insert(attempt.machine);
                 let (job, machine) = (
                     self.job_names.name(attempt.job),
                     self.cluster.machine_names.name(attempt.machine),
@@ -150,7 +150,7 @@
                 && let Some(job) = self.jobs.get_mut(&ix)
             {
                 job.unhurried = true;
-                self.round_wanted = true;
+                self.timers.request_round();
             }
         }
         if stopped.is_empty() {
@@ -177,7 +177,7 @@
         for id in stopped {
             self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
             if let Some(attempt) = self.attempts.get(id) {
-                self.direct_wanted.insert(attempt.machine);
+                self.direct.wanted.insert(attempt.machine);
                 self.cluster.counts.preemptions += 1;
                 if let Some(job) = self.jobs.get_mut(&attempt.job) {
                     job.displaced.add(attempt.index);
--- a/crates/gladekeel-controller/src/leader/release.rs
+++ b/crates/gladekeel-controller/src/leader/release.rs
@@ -60,6 +60,6 @@
             }
             self.changed_counts.insert(attempt.job);
         }
-        self.round_wanted = true;
+        self.timers.request_round();
     }
 }
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -31,7 +31,7 @@
             return None;
         }
         if machine.heard_at.is_none() {
-            self.round_wanted = true;
+            self.timers.request_round();
         }
         if report.session > machine.newest.0 {
             machine.open_starts.clear();
@@ -43,8 +43,7 @@
         machine.newest = (report.session, report.seq);
         machine.token = machine.token.max(report.token);
         machine.heard_at = Some(now);
-        self.heard_at = now;
-        self.zones.entry(zone).or_default().heard_at = now;
+        self.contact.heard(zone, now);
         machine.quiet_since = now;
         machine.mute_since = None;
         machine.suspect_since = None;
@@ -56,7 +55,7 @@
         if let Some(notice) = report.notice_s {
             if machine.leaves_at.is_none() {
                 tracing::info!(machine = machine.name, notice, "notice: the cloud takes a machine");
-                self.round_wanted = true;
+                self.timers.request_round();
             }
             machine.leaves_at = Some(now + notice);
             self.cluster.leaving.insert(ix);
@@ -136,7 +135,7 @@
             machine.awaited = awaited;
         }
         // Direct commands that were held back may go now, or it is asked whether it hears.
-        self.direct_wanted.insert(ix);
+        self.direct.wanted.insert(ix);
         answer
     }
 
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -66,8 +66,7 @@
             machines: Vec::new(),
         };
         let late_s = self.params.workers.late_s();
-        let zones = self.zones.keys().copied();
-        let quiet: BTreeSet<u32> = zones.filter(|zone| self.is_quiet(*zone, now)).collect();
+        let quiet: BTreeSet<u32> = self.contact.quiet_zones(now).collect();
         // What is kept for gangs is given up before anybody has waited too long for it.
         let starved = self.jobs.iter().any(|(ix, job)| {
             let waits = !job.over()
--- a/crates/gladekeel-controller/src/leader/sizing.rs
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -142,7 +142,7 @@
                 if machine.heard_at.is_some()
                     || (machine.was_up()
                         && (now - machine.quiet_since < silent_s
-                            || machine.zone.is_some_and(|zone| self.is_quiet(zone, now))))
+                            || machine.zone.is_some_and(|zone| self.contact.is_quiet(zone, now))))
                 {
                     supply.up += 1.0;
                 } else if !machine.was_up() && age <= boot_s * 1.6 + 5.0 {
