--- a/crates/gladekeel-controller/src/leader/preemption.rs
+++ b/crates/gladekeel-controller/src/leader/preemption.rs
@@ -1,6 +1,6 @@
 //! Stopping tasks: for others with a better claim, or because they are slow.
 
-use super::{Leader, Phase, StopReason};
+use super::{Attempt, Job, Leader, Phase, StopReason, rounds::RoundInput};
 use crate::options::Options;
 use gladekeel_sched::{
     preempt::{Victim, Victims},
@@ -11,6 +11,8 @@
 
 /// One in so many machines may have tasks stopped for others in a round.
 const STOPPING: usize = 20;
+/// But so many tasks at the least.
+const LEAST_STOPPED: usize = 8;
 /// Gangs for which room is sought among what could be stopped, in one round.
 const GANGS_AT_ONCE: usize = 4;
 /// Rounds in which the search for slow machines comes around.
@@ -59,91 +61,112 @@
 
     /// Stops tasks for others that have a better claim and found no room.
     pub(super) fn make_room(&mut self, now: f64, options: &Options) {
-        let first = options.preempt_after_s.min(options.preempt_saving_after_s);
-        let waited = |leader: &Leader, ix: u32| {
-            let job = leader.jobs.get(&ix)?;
-            (now >= job.hold_until && !job.pending.is_empty()).then_some(now - job.waits_since?)
-        };
-        let waiting = |leader: &Leader, ix: u32| {
-            let hurried = leader
-                .jobs
-                .get(&ix)
-                .is_some_and(|job| job.hurried(&leader.params, leader.fetch_s(job), now));
-            waited(leader, ix).is_some_and(|s| s >= first || hurried)
-        };
-        let open = self.jobs.iter().filter(|(_, job)| !job.over());
-        let lowest = open.clone().map(|(_, job)| job.spec.priority as u8).min();
-        // Somebody must wait, and either have a higher priority or lack a guarantee.
-        let claims = open.filter(|(ix, job)| {
-            let team = &self.teams[job.team as usize];
-            waiting(self, **ix)
-                && (Some(job.spec.priority as u8) > lowest || team.guarantees(job.room))
-        });
-        if claims.count() == 0 {
+        if !self.has_claimant(now, options) {
             return;
         }
         // What is being stopped already counts as free: it will be.
         let mut input = self.round_input(now, true);
-        let most = (input.machines.len() / STOPPING).max(8);
+        let (tasks, gangs) = self.preemptible(now, &mut input);
+        input.round.place(&options.hopper);
+        let stopped = self.choose_victims(now, options, &mut input, tasks);
+        if stopped.is_empty() {
+            // Gangs are stopped last, one at a time, and each as a whole.
+            self.preempt_gang(now, options, &mut input, gangs);
+        }
+        for id in stopped {
+            self.preempt(id);
+        }
+    }
+
+    /// How long a job has waited for room, if it may be placed now.
+    fn waited_for_room(&self, ix: u32, now: f64) -> Option<f64> {
+        let job = self.jobs.get(&ix)?;
+        (now >= job.hold_until && !job.pending.is_empty()).then_some(now - job.waits_since?)
+    }
+
+    /// Whether a job has waited for long enough that others may be stopped for it.
+    fn may_preempt(&self, ix: u32, now: f64, options: &Options) -> bool {
+        let least_s = options.preempt_after_s.min(options.preempt_saving_after_s);
+        let hurried =
+            self.jobs.get(&ix).is_some_and(|job| job.hurried(&self.params, self.fetch_s(job), now));
+        self.waited_for_room(ix, now).is_some_and(|waited_s| waited_s >= least_s || hurried)
+    }
+
+    /// Whether a job waits that has a higher priority than another, or lacks a guarantee.
+    fn has_claimant(&self, now: f64, options: &Options) -> bool {
+        let mut open = self.jobs.iter().filter(|(_, job)| !job.over());
+        let lowest = open.clone().map(|(_, job)| job.spec.priority as u8).min();
+        open.any(|(ix, job)| {
+            let team = &self.teams[job.team as usize];
+            self.may_preempt(*ix, now, options)
+                && (Some(job.spec.priority as u8) > lowest || team.guarantees(job.room))
+        })
+    }
+
+    /// What could be stopped: single tasks, and gangs by the machines that they are on.
+    /// Counts the room of what is being stopped as free.
+    fn preemptible(&self, now: f64, input: &mut RoundInput) -> (Vec<Victim>, Vec<Victim>) {
         let index: HashMap<u32, usize> =
             input.machines.iter().enumerate().map(|(at, ix)| (*ix, at)).collect();
-        let (mut victims, mut whole) = (Vec::new(), BTreeMap::new());
+        let (mut tasks, mut gangs) = (Vec::new(), BTreeMap::new());
         let mut heard = BTreeMap::new();
         for (id, attempt) in self.attempts.iter() {
-            let Some(at) = index.get(&attempt.machine) else { continue };
+            let Some(machine) = index.get(&attempt.machine).copied() else { continue };
             let job = &self.jobs[&attempt.job];
             if attempt.stop.is_some() || matches!(attempt.phase, Phase::Releasing(_)) {
-                input.round.machines[*at].free += attempt.room;
+                input.round.machines[machine].free += attempt.room;
                 input.round.teams[job.team as usize].used -= attempt.room;
-            } else if attempt.phase == Phase::Live
-                // What was stopped before would never get anywhere.
-                && !job.displaced.has(attempt.index)
-            {
-                let ran = attempt.run_since.map_or(0.0, |since| now - since);
-                let saved = job.spec.checkpoint_s;
-                let victim = Victim {
-                    id,
-                    machine: *at,
-                    team: job.team,
-                    priority: job.spec.priority as u8,
-                    task: attempt.room,
-                    // What was saved is not lost. Work counts by the room it takes.
-                    loss: if saved > 0.0 { ran % saved } else { ran } * job.spec.cpus,
-                    saves: saved > 0.0,
-                };
-                if !job.is_gang() {
-                    victims.push(victim);
-                } else if job.pending.is_empty() && self.all_heard(attempt.job, now, &mut heard) {
-                    // One task of a gang cannot be stopped without all.
-                    let loss = victim.loss * f64::from(job.spec.tasks);
-                    whole
-                        .entry((attempt.job, *at))
-                        .and_modify(|all: &mut Victim| all.task += attempt.room)
-                        .or_insert(Victim { loss, ..victim });
-                }
+                continue;
+            }
+            // What was stopped before would never get anywhere.
+            if attempt.phase != Phase::Live || job.displaced.has(attempt.index) {
+                continue;
+            }
+            let victim = victim(now, id, attempt, job, machine);
+            if !job.is_gang() {
+                tasks.push(victim);
+            } else if job.pending.is_empty() && self.all_heard(attempt.job, now, &mut heard) {
+                // One task of a gang cannot be stopped without all.
+                let loss = victim.loss * f64::from(job.spec.tasks);
+                gangs
+                    .entry((attempt.job, machine))
+                    .and_modify(|all: &mut Victim| all.task += attempt.room)
+                    .or_insert(Victim { loss, ..victim });
             }
         }
-        let mut victims = Victims::new(input.machines.len(), victims);
-        input.round.place(&options.hopper);
+        (tasks, gangs.into_values().collect())
+    }
+
+    /// Chooses the tasks that are stopped for those that wait.
+    fn choose_victims(
+        &mut self,
+        now: f64,
+        options: &Options,
+        input: &mut RoundInput,
+        tasks: Vec<Victim>,
+    ) -> Vec<u64> {
+        let most = (input.machines.len() / STOPPING).max(LEAST_STOPPED);
+        let mut victims = Victims::new(input.machines.len(), tasks);
         let (mut stopped, mut gangs) = (Vec::new(), 0);
         for at in input.round.order() {
             let ix = input.jobs[at];
             let job = &input.round.jobs[at];
-            if job.pending == 0 || stopped.len() >= most || !waiting(self, ix) {
+            let left = most.saturating_sub(stopped.len());
+            if job.pending == 0 || left == 0 || !self.may_preempt(ix, now, options) {
                 continue;
             }
             // Tasks that lose little are stopped soon, others after a longer wait.
-            let patient = waited(self, ix).unwrap_or(0.0) < options.preempt_after_s;
+            let waited_s = self.waited_for_room(ix, now).unwrap_or(0.0);
+            let saving = waited_s < options.preempt_after_s;
             if job.gang {
                 if job.pending == job.remaining && gangs < GANGS_AT_ONCE {
                     gangs += 1;
-                    let left = most - stopped.len();
-                    stopped.extend(victims.stop_for_gang(&mut input.round, at, left, patient));
+                    stopped.extend(victims.stop_for_gang(&mut input.round, at, left, saving));
                 }
                 continue;
             }
             let hurried = job.hurried;
-            stopped.extend(victims.stop_for(&mut input.round, at, most - stopped.len(), patient));
+            stopped.extend(victims.stop_for(&mut input.round, at, left, saving));
             if hurried
                 && input.round.jobs[at].pending > 0
                 && stopped.len() < most
@@ -153,38 +176,62 @@
                 self.timers.request_round();
             }
         }
-        if stopped.is_empty() {
-            // Gangs are stopped last, one at a time, and each as a whole.
-            let mut whole = Victims::new(input.machines.len(), whole.into_values());
-            let order = input.round.order();
-            let claimant = order.into_iter().find(|at| {
-                let waited = waited(self, input.jobs[*at]).unwrap_or(0.0);
-                let job = &input.round.jobs[*at];
-                job.pending > 0 && !job.gang && waited >= options.preempt_after_s
-            });
-            if let Some(at) = claimant
-                && let Some(id) = whole.stop_for(&mut input.round, at, 1, false).first()
-            {
-                let Some(ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { return };
-                self.cluster.counts.preemptions += u64::from(self.jobs[&ix].spec.tasks);
-                if let Some(job) = self.jobs.get_mut(&ix) {
-                    (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
-                }
-                tracing::info!(job = %self.job_names.name(ix), "a gang is stopped to make room");
-                self.stop_gang(ix, StopReason::Preempted);
-            }
-        }
-        for id in stopped {
-            self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
-            if let Some(attempt) = self.attempts.get(id) {
-                self.direct.wanted.insert(attempt.machine);
-                self.cluster.counts.preemptions += 1;
-                if let Some(job) = self.jobs.get_mut(&attempt.job) {
-                    job.displaced.add(attempt.index);
-                }
-                let job = self.job_names.name(attempt.job);
-                tracing::info!(%job, index = attempt.index, "stopped to make room");
-            }
+        stopped
+    }
+
+    /// Stops one gang as a whole, for the first job that has waited for long enough.
+    fn preempt_gang(
+        &mut self,
+        now: f64,
+        options: &Options,
+        input: &mut RoundInput,
+        gangs: Vec<Victim>,
+    ) {
+        let mut victims = Victims::new(input.machines.len(), gangs);
+        let claimant = input.round.order().into_iter().find(|at| {
+            let waited_s = self.waited_for_room(input.jobs[*at], now).unwrap_or(0.0);
+            let job = &input.round.jobs[*at];
+            job.pending > 0 && !job.gang && waited_s >= options.preempt_after_s
+        });
+        let Some(claimant) = claimant else { return };
+        let stopped = victims.stop_for(&mut input.round, claimant, 1, false);
+        let attempt = stopped.first().and_then(|id| self.attempts.get(*id));
+        let Some(ix) = attempt.map(|attempt| attempt.job) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
+        self.cluster.counts.preemptions += u64::from(job.spec.tasks);
+        (0..job.spec.tasks).for_each(|index| _ = job.displaced.add(index));
+        tracing::info!(job = %self.job_names.name(ix), "a gang is stopped to make room");
+        self.stop_gang(ix, StopReason::Preempted);
+    }
+
+    /// Stops one task for another.
+    fn preempt(&mut self, id: u64) {
+        self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
+        let Some(attempt) = self.attempts.get(id) else { return };
+        self.direct.wanted.insert(attempt.machine);
+        self.cluster.counts.preemptions += 1;
+        if let Some(job) = self.jobs.get_mut(&attempt.job) {
+            job.displaced.add(attempt.index);
         }
+        let job = self.job_names.name(attempt.job);
+        tracing::info!(%job, index = attempt.index, "stopped to make room");
+    }
+}
+
+/// A task as one that could be stopped. What it has saved is not lost; work counts by the
+/// CPUs that it takes.
+fn victim(now: f64, id: u64, attempt: &Attempt, job: &Job, machine: usize) -> Victim {
+    let ran_s = attempt.run_since.map_or(0.0, |since| now - since);
+    let checkpoint_s = job.spec.checkpoint_s;
+    let saves = checkpoint_s > 0.0;
+    let lost_s = if saves { ran_s % checkpoint_s } else { ran_s };
+    Victim {
+        id,
+        machine,
+        team: job.team,
+        priority: job.spec.priority as u8,
+        task: attempt.room,
+        loss: lost_s * job.spec.cpus,
+        saves,
     }
 }
