Leader: the search for dead machines in short functions, with typed reasons for deletion

find_dead was one function of 130 lines. Why a machine is to be deleted is an enum in place of a string. Log lines, order of the checks and limits are the same.

--- a/crates/gladekeel-controller/src/leader/cloud_calls.rs
+++ b/crates/gladekeel-controller/src/leader/cloud_calls.rs
@@ -2,7 +2,7 @@
 //!
 //! What should be rented or returned is decided elsewhere; this module asks for it.
 
-use super::{Leader, Machine};
+use super::{Leader, Machine, machine::DeletionReason};
 use crate::cloud::{CloudCall, CloudOutcome};
 use gladekeel_wire::cloud::{
     MAX_DELETE, MAX_LIST, MAX_RENT, MachineList, MachineRow, MachineState, MachineTypes, Rent,
@@ -334,7 +334,7 @@
             machine.missing = 0;
             machine.list_state = Some(row.state);
             if row.state == MachineState::Failed && machine.delete.is_none() {
-                machine.delete = Some("failed");
+                machine.delete = Some(DeletionReason::Failed);
                 self.cluster.leaving.insert(ix);
             }
             let zone = self.catalog.zones.intern(&row.zone);
@@ -348,7 +348,7 @@
                 // Lists may be older than the one before: one of them proves little.
                 machine.missing += 1;
                 if machine.missing >= 2 && machine.delete.is_none() {
-                    machine.delete = Some("no longer listed");
+                    machine.delete = Some(DeletionReason::NoLongerListed);
                     self.cluster.leaving.insert(*ix);
                 }
             }
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -4,7 +4,7 @@
 //! while token and session match. Until that is settled its attempt is neither
 //! released for being absent nor forgotten; a new token settles it for good.
 
-use super::{Leader, Machine, Phase, StopReason};
+use super::{Leader, Machine, Phase, StopReason, machine::DeletionReason};
 use gladekeel_wire::{
     TaskId,
     worker::{Command, Direct, Report, TaskState},
@@ -224,7 +224,7 @@
                     && machine.delete.is_none()
                 {
                     tracing::info!(machine = machine.name, "hears nothing: deleted");
-                    machine.delete = Some("hears nothing");
+                    machine.delete = Some(DeletionReason::HearsNothing);
                     self.cluster.leaving.insert(call.machine);
                 }
             }
--- a/crates/gladekeel-controller/src/leader/evacuation.rs
+++ b/crates/gladekeel-controller/src/leader/evacuation.rs
@@ -1,6 +1,6 @@
 //! Tasks on machines that go away: stopped in time, released once the machine is gone.
 
-use super::{Attempt, Job, Leader, Phase, StopReason, attempt::Outcome};
+use super::{Attempt, Job, Leader, Phase, StopReason, attempt::Outcome, machine::DeletionReason};
 use std::collections::BTreeMap;
 
 impl Leader {
@@ -40,7 +40,7 @@
                     tasks = machine.attempts.len(),
                     "taken: deleted"
                 );
-                machine.delete = Some("taken");
+                machine.delete = Some(DeletionReason::Taken);
             }
         }
         for id in stop {
--- a/crates/gladekeel-controller/src/leader/liveness.rs
+++ b/crates/gladekeel-controller/src/leader/liveness.rs
@@ -1,6 +1,6 @@
 //! Which machines are dead, and which may outlast the time that a cancelled job has.
 
-use super::{Leader, Phase};
+use super::{Leader, Machine, Phase, machine::DeletionReason};
 use crate::options::Options;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -17,6 +17,16 @@
 const GIVE_UP_S: f64 = 8.0;
 /// A machine that boots longer than this many times the usual time does not come.
 const BOOT_MULTIPLE: f64 = 2.5;
+/// Added to that, for one that boots in no time.
+const BOOT_MARGIN_S: f64 = 10.0;
+/// The usual time of a boot, where the type is not known.
+const UNKNOWN_BOOT_S: f64 = 60.0;
+/// A zone counts as heard if a machine reported within this part of `silent_s`.
+const HEARD_PART: f64 = 0.6;
+/// Added to the time in which one that answers should have reported.
+const MUTE_MARGIN_S: f64 = 4.0;
+/// A machine that is silent for so many leases is dead, whatever else is heard.
+const LEASES_SILENT: f64 = 3.0;
 
 impl Leader {
     /// Deletes machines on which tasks of a cancelled job may outlast the time they have.
@@ -45,7 +55,7 @@
             let Some(machine) = self.cluster.machines.get_mut(&ix) else { continue };
             if machine.delete.is_none() && !machine.gone {
                 tracing::info!(machine = machine.name, "may still run a cancelled task: deleted");
-                machine.delete = Some("may still run a cancelled task");
+                machine.delete = Some(DeletionReason::RunsCancelled);
                 self.cluster.leaving.insert(ix);
             }
         }
@@ -59,117 +69,222 @@
         own_zone: &str,
         heard_zones: &[&str],
     ) {
-        let boots: BTreeMap<u32, f64> = self
-            .catalog
-            .types
-            .iter()
-            .enumerate()
-            .filter_map(|(kind, t)| Some((kind as u32, t.as_ref()?.boot_s)))
+        let joined: BTreeSet<u32> = std::iter::once(&own_zone)
+            .chain(heard_zones)
+            .filter_map(|zone| self.catalog.zones.get(*zone))
             .collect();
+        let survey = self.survey(now, options, joined);
+        self.note_reach(now, &survey);
+        let limits = self.silence_limits(options);
+        for (ix, machine) in &mut self.cluster.machines {
+            if machine.delete.is_some() || machine.gone {
+                continue;
+            }
+            let kind =
+                machine.kind.and_then(|kind| self.catalog.types.get(kind as usize)?.as_ref());
+            let boot_s = kind.map_or(UNKNOWN_BOOT_S, |kind| kind.boot_s);
+            let reached = self.cluster.reached_since.get(&machine.zone);
+            let reached_s = reached.map_or(-1.0, |since| now - since);
+            if machine.is_late(now, &limits) {
+                self.direct.probes_wanted.insert(*ix);
+            }
+            let reason = machine.reason_to_delete(now, &limits, &survey, reached_s, boot_s);
+            if reason.is_some() {
+                machine.delete = reason;
+                self.cluster.leaving.insert(*ix);
+            }
+        }
+    }
+
+    /// Who is heard and who has answered, by zone. `joined` are the zones of the leader and
+    /// of the controllers that it hears.
+    fn survey(&self, now: f64, options: &Options, joined: BTreeSet<u32>) -> Survey {
         // A zone's silence must show well before a machine counts as dead.
-        let heard_s = 0.6 * options.silent_s;
-        let ask_s = self.params.workers.ask_s();
-        let silent_s = options.silent_s;
-        let mut zones: BTreeMap<Option<u32>, (usize, usize)> = BTreeMap::new();
-        let mut answered: BTreeMap<Option<u32>, f64> = BTreeMap::new();
+        let heard_s = HEARD_PART * options.silent_s;
+        let mut survey = Survey { joined, ..Survey::default() };
         for machine in self.cluster.machines.values().filter(|m| m.should_report()) {
-            let (heard, all) = zones.entry(machine.zone).or_default();
-            *all += 1;
-            *heard += usize::from(now - machine.quiet_since < heard_s);
-            if let Some(at) = machine.answered_at {
-                let last = answered.entry(machine.zone).or_insert(at);
-                *last = last.max(at);
+            let zone = survey.zones.entry(machine.zone).or_default();
+            zone.reporting += 1;
+            if now - machine.quiet_since < heard_s {
+                zone.heard += 1;
+                survey.heard_any = true;
             }
+            zone.answered_at = zone.answered_at.max(machine.answered_at);
         }
-        let any_answered = answered.values().copied().fold(f64::NEG_INFINITY, f64::max);
-        self.contact.set_reporting(zones.values().map(|(_, all)| all).sum());
-        for (zone, (_, all)) in &zones {
+        survey
+    }
+
+    /// Notes how many machines should report, and which zones are within reach. Silence
+    /// counts only while a zone is: right after a cut its machines have been silent for
+    /// long and are about to be heard again.
+    fn note_reach(&mut self, now: f64, survey: &Survey) {
+        self.contact.set_reporting(survey.zones.values().map(|zone| zone.reporting).sum());
+        for (zone, view) in &survey.zones {
             if let Some(zone) = zone {
                 // One that was not heard of yet is given time.
-                self.contact.set_reporting_of(*zone, *all, now);
+                self.contact.set_reporting_of(*zone, view.reporting, now);
             }
         }
-        let heard_any = zones.values().any(|(heard, _)| *heard > 0);
-        let lease_s = self.params.workers.lease_s;
-        let late_s = self.params.workers.late_s();
-        let mute_s = MUTE_REPORTS * late_s + 4.0;
-        let cut_s = (lease_s + 2.0 * silent_s).min(self.params.workers.cancel_s - GIVE_UP_S);
-        // A zone is within reach if a machine there is heard, or if any machine is,
-        // and the zone is the leader's own or a controller there is heard. Without
-        // a single machine, the leader may be the one that is cut off.
-        let joined = |zone: Option<u32>| {
-            let name = zone.map(|zone| self.catalog.zones.name(zone).as_str());
-            name.is_none_or(|name| name == own_zone || heard_zones.contains(&name))
-        };
-        let in_reach = |zone: Option<u32>| {
-            zones.get(&zone).is_some_and(|(heard, _)| *heard > 0) || (heard_any && joined(zone))
-        };
-        let reached: BTreeSet<Option<u32>> =
-            zones.keys().copied().filter(|zone| in_reach(*zone)).collect();
-        // Silence counts only while the zone is within reach: right after a cut its
-        // machines have been silent for long and are about to be heard again.
         let since = &mut self.cluster.reached_since;
-        since.retain(|zone, _| reached.contains(zone));
-        for zone in reached {
-            since.entry(zone).or_insert(now);
+        since.retain(|zone, _| survey.zones.contains_key(zone) && survey.in_reach(*zone));
+        for zone in survey.zones.keys().filter(|zone| survey.in_reach(**zone)) {
+            since.entry(*zone).or_insert(now);
         }
-        for (ix, machine) in &mut self.cluster.machines {
-            if machine.delete.is_some() || machine.gone {
-                continue;
-            }
-            let quiet = now - machine.quiet_since;
-            if machine.drained && machine.attempts.is_empty() {
-                tracing::info!(machine = machine.name, "drained: returned");
-                machine.delete = Some("drained");
-                self.cluster.leaving.insert(*ix);
-                continue;
-            }
-            let answers_s = machine.answers_since.map_or(0.0, |since| now - since);
-            if answers_s > mute_s && quiet < late_s && machine.newest.0 > machine.reported.1 {
-                // It answers, but its lease has run out: nobody hears its reports, and
-                // it would lose every long task again and again.
-                tracing::info!(machine = machine.name, quiet, "reports to nobody: deleted");
-                machine.delete = Some("reports to nobody");
-                self.cluster.leaving.insert(*ix);
-            } else if machine.should_report() {
-                let reached = self.cluster.reached_since.get(&machine.zone);
-                let reached_s = reached.map_or(-1.0, |since| now - since);
-                // Silence of a whole zone may be a cut, and its machines may be at
-                // work behind it: only a long one is taken for their end.
-                // A late one is asked; so is one that was up before this leader began, so
-                // that its tasks are known before its next report.
-                if quiet > ask_s || (machine.heard_at.is_none() && machine.was_up()) {
-                    self.direct.probes_wanted.insert(*ix);
-                }
-                // It may report to another node and be well, or a cut may have begun when
-                // it was about to report, or no worker can be reached from here: its silence
-                // counts only if it does not answer while others of its zone do.
-                let others = machine.mute_since.is_some_and(|mute| {
-                    answered.get(&machine.zone).is_some_and(|at| *at > mute)
-                        || (any_answered > mute && joined(machine.zone))
-                });
-                if others {
-                    machine.suspect_since.get_or_insert(now);
-                }
-                let dead = machine.suspect_since.is_some_and(|since| now - since >= SUSPECT_S);
-                if (quiet.min(reached_s) > silent_s && dead)
-                    || (heard_any && quiet > cut_s)
-                    || quiet > 3.0 * lease_s
-                {
-                    tracing::info!(machine = machine.name, quiet, "silent: deleted");
-                    machine.delete = Some("silent");
-                    self.cluster.leaving.insert(*ix);
-                }
-            } else {
-                let boot = machine.kind.and_then(|kind| boots.get(&kind)).copied().unwrap_or(60.0);
-                // One that was up already has not reported to this leader yet; it may be
-                // about to.
-                if quiet > silent_s && now - machine.rented_at > boot * BOOT_MULTIPLE + 10.0 {
-                    tracing::info!(machine = machine.name, "never came up: deleted");
-                    machine.delete = Some("never came up");
-                    self.cluster.leaving.insert(*ix);
-                }
+    }
+
+    fn silence_limits(&self, options: &Options) -> SilenceLimits {
+        let workers = &self.params.workers;
+        let late_s = workers.late_s();
+        SilenceLimits {
+            ask_s: workers.ask_s(),
+            late_s,
+            lease_s: workers.lease_s,
+            silent_s: options.silent_s,
+            mute_s: MUTE_REPORTS * late_s + MUTE_MARGIN_S,
+            cut_s: (workers.lease_s + 2.0 * options.silent_s).min(workers.cancel_s - GIVE_UP_S),
+        }
+    }
+}
+
+/// For how long silence means what.
+struct SilenceLimits {
+    /// A machine is asked.
+    ask_s: f64,
+    /// Its reports are late.
+    late_s: f64,
+    /// Its lease has run out.
+    lease_s: f64,
+    /// It may count as dead.
+    silent_s: f64,
+    /// One that answers reaches no controller with its reports.
+    mute_s: f64,
+    /// A zone that is silent as a whole is given up.
+    cut_s: f64,
+}
+
+/// Who was heard, as of one look at all machines.
+#[derive(Default)]
+struct Survey {
+    zones: BTreeMap<Option<u32>, ZoneSurvey>,
+    /// Zones of the leader and of the controllers that it hears.
+    joined: BTreeSet<u32>,
+    heard_any: bool,
+}
+
+/// Who was heard in a zone.
+#[derive(Default)]
+struct ZoneSurvey {
+    reporting: usize,
+    heard: usize,
+    /// When one of its machines last answered a direct request.
+    answered_at: Latest,
+}
+
+/// The latest of some times, if there is one.
+#[derive(Debug, Clone, Copy, Default)]
+struct Latest(Option<f64>);
+
+impl Latest {
+    fn max(self, at: Option<f64>) -> Latest {
+        Latest(self.0.into_iter().chain(at).reduce(f64::max))
+    }
+
+    fn is_after(self, at: f64) -> bool {
+        self.0.is_some_and(|latest| latest > at)
+    }
+}
+
+impl Survey {
+    /// Whether a controller is in the zone, or the zone is not known.
+    fn is_joined(&self, zone: Option<u32>) -> bool {
+        zone.is_none_or(|zone| self.joined.contains(&zone))
+    }
+
+    /// Whether a zone is within reach: a machine there is heard, or any machine is and a
+    /// controller is there. Without a single machine, the leader may be the one that is
+    /// cut off.
+    fn in_reach(&self, zone: Option<u32>) -> bool {
+        let heard = self.zones.get(&zone).is_some_and(|view| view.heard > 0);
+        heard || (self.heard_any && self.is_joined(zone))
+    }
+
+    /// Whether others of a zone have answered after a time.
+    fn answered_after(&self, zone: Option<u32>, at: f64) -> bool {
+        let here = self.zones.get(&zone).is_some_and(|view| view.answered_at.is_after(at));
+        let mut anywhere = self.zones.values().map(|view| view.answered_at);
+        here || (self.is_joined(zone) && anywhere.any(|answered| answered.is_after(at)))
+    }
+}
+
+impl Machine {
+    /// Whether it is asked whether it is there: it is late, or it was up before this leader
+    /// began, so that its tasks are known before its next report.
+    fn is_late(&self, now: f64, limits: &SilenceLimits) -> bool {
+        let unknown = self.heard_at.is_none() && self.was_up();
+        self.should_report()
+            && !self.is_empty_and_drained()
+            && !self.reports_to_nobody(now, limits)
+            && (now - self.quiet_since > limits.ask_s || unknown)
+    }
+
+    fn is_empty_and_drained(&self) -> bool {
+        self.drained && self.attempts.is_empty()
+    }
+
+    /// Whether it answers, but its lease has run out: nobody hears its reports, and it would
+    /// lose every long task again and again.
+    fn reports_to_nobody(&self, now: f64, limits: &SilenceLimits) -> bool {
+        let answers_s = self.answers_since.map_or(0.0, |since| now - since);
+        answers_s > limits.mute_s
+            && now - self.quiet_since < limits.late_s
+            && self.newest.0 > self.reported.1
+    }
+
+    /// Why it is to be deleted, if it is: what it says, or that it says nothing.
+    fn reason_to_delete(
+        &mut self,
+        now: f64,
+        limits: &SilenceLimits,
+        survey: &Survey,
+        reached_s: f64,
+        boot_s: f64,
+    ) -> Option<DeletionReason> {
+        let quiet = now - self.quiet_since;
+        if self.is_empty_and_drained() {
+            tracing::info!(machine = self.name, "drained: returned");
+            return Some(DeletionReason::Drained);
+        }
+        if self.reports_to_nobody(now, limits) {
+            tracing::info!(machine = self.name, quiet, "reports to nobody: deleted");
+            return Some(DeletionReason::ReportsToNobody);
+        }
+        if !self.should_report() {
+            // One that was up already has not reported to this leader yet; it may be
+            // about to.
+            let booted_s = now - self.rented_at;
+            let overdue = booted_s > boot_s * BOOT_MULTIPLE + BOOT_MARGIN_S;
+            if quiet <= limits.silent_s || !overdue {
+                return None;
             }
+            tracing::info!(machine = self.name, "never came up: deleted");
+            return Some(DeletionReason::NeverCameUp);
+        }
+        // It may report to another node and be well, or a cut may have begun when it was
+        // about to report, or no worker can be reached from here: its silence counts only if
+        // it does not answer while others of its zone do.
+        if self.mute_since.is_some_and(|mute| survey.answered_after(self.zone, mute)) {
+            self.suspect_since.get_or_insert(now);
+        }
+        let dead = self.suspect_since.is_some_and(|since| now - since >= SUSPECT_S);
+        // Silence of a whole zone may be a cut, and its machines may be at work behind it:
+        // only a long one is taken for their end.
+        let silent = (quiet.min(reached_s) > limits.silent_s && dead)
+            || (survey.heard_any && quiet > limits.cut_s)
+            || quiet > LEASES_SILENT * limits.lease_s;
+        if !silent {
+            return None;
         }
+        tracing::info!(machine = self.name, quiet, "silent: deleted");
+        Some(DeletionReason::Silent)
     }
 }
--- a/crates/gladekeel-controller/src/leader/machine.rs
+++ b/crates/gladekeel-controller/src/leader/machine.rs
@@ -4,6 +4,33 @@
 use gladekeel_wire::cloud::MachineState;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Why a machine is to be deleted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeletionReason {
+    /// The cloud takes it.
+    Taken,
+    /// Operators wanted it drained, and it is empty.
+    Drained,
+    /// It answers direct requests, but no controller hears its reports.
+    ReportsToNobody,
+    /// It neither reports nor answers.
+    Silent,
+    /// It has not come up in time.
+    NeverCameUp,
+    /// The cloud lists it as failed.
+    Failed,
+    /// The cloud lists it no more.
+    NoLongerListed,
+    /// Its reports show nothing of the answers to them, and it does not answer.
+    HearsNothing,
+    /// Tasks fail on it.
+    FailsTasks,
+    /// It is idle and not needed.
+    Idle,
+    /// A task of a cancelled job may still be on it.
+    RunsCancelled,
+}
+
 /// What the answer to a report was to bring about. A worker takes an answer before
 /// it sends its next report, so that the next one shows whether it was heard.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -53,7 +80,7 @@
     /// Lists in a row that lacked it although it had been listed.
     pub missing: u32,
     /// Why it should be deleted, if it should.
-    pub delete: Option<&'static str>,
+    pub delete: Option<DeletionReason>,
     /// Whether a deletion was sent: it gets no more work, whatever comes of it.
     pub delete_sent: bool,
     /// Whether the deletion is confirmed.
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,6 +1,9 @@
 //! Workers' reports and the commands that answer them.
 
-use super::{Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited};
+use super::{
+    Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited,
+    machine::DeletionReason,
+};
 use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
 use gladekeel_wire::{TaskId, job::Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -353,7 +356,7 @@
                             machine = machine.name,
                             "a machine fails its tasks: returned"
                         );
-                        machine.delete = Some("fails its tasks");
+                        machine.delete = Some(DeletionReason::FailsTasks);
                         self.cluster.leaving.insert(machine_ix);
                     }
                 }
--- a/crates/gladekeel-controller/src/leader/sizing.rs
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -1,6 +1,6 @@
 //! How many machines of each type there should be, which to rent and which to return.
 
-use super::{Job, Leader, cloud_calls::Pool};
+use super::{Job, Leader, cloud_calls::Pool, machine::DeletionReason};
 use crate::options::Options;
 use gladekeel_sched::{
     Room,
@@ -273,7 +273,7 @@
         for (_, ix) in idle.into_iter().take(spare) {
             if let Some(machine) = self.cluster.machines.get_mut(&ix) {
                 tracing::info!(machine = machine.name, spot, "idle: returned");
-                machine.delete = Some("idle");
+                machine.delete = Some(DeletionReason::Idle);
                 self.cluster.leaving.insert(ix);
             }
         }
