--- a/crates/gladekeel-testkit/src/sim/message_faults.rs
+++ b/crates/gladekeel-testkit/src/sim/message_faults.rs
@@ -2,7 +2,8 @@
 //! out, a direct command that arrives late, a report that arrives once more when the next
 //! leader begins.
 
-use super::{ANSWER_S, DirectCall, DirectOutcome, End, Sim};
+use super::{ANSWER_S, End, Sim};
+use gladekeel_controller::leader::{DirectCall, DirectOutcome};
 use gladekeel_wire::worker::Report;
 use rand::Rng;
 use std::ops::Range;
--- /dev/null
+++ b/crates/gladekeel-testkit/src/sim/nodes.rs
@@ -0,0 +1,156 @@
+//! Controllers: their starts and ends, their clocks, the events and actions between them.
+
+use super::{End, STEP_S, Sim, Slot, Then};
+use gladekeel_controller::node::{Action, Event, Node};
+use gladekeel_wire::mesh::Header;
+use rand::Rng;
+
+impl Sim {
+    /// Starts a node.
+    pub fn start(&mut self, node: usize) {
+        let seed = self.rng.random();
+        let slot = &mut self.nodes[node];
+        slot.incarnation += 1;
+        slot.started = self.now;
+        slot.frozen_until = self.now;
+        slot.replies.clear();
+        slot.node = Some(Node::new(slot.settings.clone(), seed, slot.started));
+        let incarnation = slot.incarnation;
+        self.tick(node, incarnation);
+    }
+
+    /// Lets a node stand still; what reaches it meanwhile waits.
+    pub fn freeze(&mut self, node: usize, for_s: f64) {
+        self.trouble(for_s);
+        self.nodes[node].frozen_until = self.now + for_s;
+    }
+
+    /// Ends a node without notice.
+    pub fn crash(&mut self, node: usize) {
+        let slot = &mut self.nodes[node];
+        slot.node = None;
+        let lost: Vec<Then> = slot.replies.drain().map(|(_, then)| then).collect();
+        for then in lost {
+            then(self, None);
+        }
+    }
+
+    /// Ends a node and starts it again after a while.
+    pub fn restart(&mut self, node: usize, after_s: f64) {
+        self.crash(node);
+        self.trouble(after_s);
+        self.after(after_s, move |sim| {
+            if sim.nodes[node].node.is_none() {
+                sim.start(node);
+            }
+        });
+    }
+
+    /// The node that leads, as far as any of them thinks so.
+    pub fn leading(&self) -> Option<usize> {
+        let leads = |slot: &Slot| slot.node.as_ref().and_then(|n| n.leader()).map(|l| l.token);
+        (0..self.nodes.len())
+            .filter_map(|node| Some((leads(&self.nodes[node])?, node)))
+            .max()
+            .map(|(_, node)| node)
+    }
+
+    /// The leader's counters.
+    pub fn leader_counts(&self) -> Option<gladekeel_controller::leader::Counts> {
+        let node = self.leading()?;
+        Some(self.nodes[node].node.as_ref()?.leader()?.counts().clone())
+    }
+
+    /// Segments of the leader's log in use.
+    pub fn log_segments(&self) -> usize {
+        let node = self.leading().and_then(|node| self.nodes[node].node.as_ref());
+        node.and_then(|node| node.leader()).map_or(0, |leader| leader.log_segments())
+    }
+
+    /// Age of the oldest open job, by the leader's count.
+    pub fn oldest_job_s(&self) -> Option<f64> {
+        let slot = &self.nodes[self.leading()?];
+        slot.node.as_ref()?.leader()?.oldest_job_s(self.now - slot.started)
+    }
+
+    fn tick(&mut self, node: usize, incarnation: u64) {
+        if self.nodes[node].incarnation != incarnation || self.nodes[node].node.is_none() {
+            return;
+        }
+        let frozen_s = self.nodes[node].frozen_until - self.now;
+        if frozen_s > 0.0 {
+            return self.after(frozen_s, move |sim| sim.tick(node, incarnation));
+        }
+        self.event(node, incarnation, Event::Tick);
+        if let Some(leader) = self.nodes[node].node.as_ref().and_then(|n| n.leader()) {
+            let seen = (leader.token, node);
+            // Attempts are numbered by token: nobody may lead twice under one.
+            let since = leader.since();
+            if *self.reigns.entry(seen.0).or_insert(since) != since {
+                self.rules.broke("token_reused", format!("{:.2}: {}", self.now, seen.0));
+            }
+            if !self.leaders.contains(&seen) {
+                self.leaders.push(seen);
+                self.release_kept_reports();
+            }
+        }
+        self.after(STEP_S, move |sim| sim.tick(node, incarnation));
+    }
+
+    pub(super) fn event(&mut self, node: usize, incarnation: u64, event: Event) {
+        let now = self.now;
+        let slot = &mut self.nodes[node];
+        if slot.incarnation != incarnation {
+            return;
+        }
+        let frozen_s = slot.frozen_until - now;
+        if frozen_s > 0.0 {
+            return self.after(frozen_s, move |sim| sim.event(node, incarnation, event));
+        }
+        let started = slot.started;
+        let Some(running) = &mut slot.node else { return };
+        for action in running.handle(now - started, event) {
+            self.act(node, incarnation, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, incarnation: u64, action: Action) {
+        match action {
+            Action::Reply { id, reply } => {
+                if let Some(then) = self.nodes[node].replies.remove(&id) {
+                    then(self, Some(reply));
+                }
+            }
+            Action::State { call, request, limit_s } => {
+                self.call_state(node, incarnation, call, request, limit_s);
+            }
+            Action::Cloud { call, request, limit_s } => {
+                self.call_cloud(node, incarnation, call, request, limit_s);
+            }
+            Action::Direct { call, request, limit_s } => {
+                self.call_worker(node, incarnation, call, request, limit_s);
+            }
+            Action::Mesh { peer, frame } => {
+                let name = self.nodes[node].settings.peers[peer].node.clone();
+                let to = self.nodes.iter().position(|slot| slot.settings.node == name);
+                let Some(to) = to else { return };
+                self.deliver(&End::Node(node), &End::Node(to), move |sim| {
+                    let (head, payload) = frame.split_at(Header::SIZE);
+                    let read = head.try_into().ok().and_then(|head| Header::read(&head));
+                    let Some((header, kind)) = read else { return };
+                    let incarnation = sim.nodes[to].incarnation;
+                    sim.event(
+                        to,
+                        incarnation,
+                        Event::Mesh { header, kind, payload: payload.to_vec() },
+                    );
+                });
+            }
+        }
+    }
+
+    /// The number of nodes.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/sim/services.rs
@@ -0,0 +1,122 @@
+//! What controllers ask the state service and the cloud.
+
+use super::{End, Sim};
+use gladekeel_controller::{
+    cloud::{CloudCall, CloudOutcome},
+    node::{CallId, Event},
+};
+use gladekeel_store::{Call, Outcome};
+use rand::Rng;
+
+impl Sim {
+    pub(super) fn call_state(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: CallId,
+        request: Call,
+        limit_s: f64,
+    ) {
+        self.after(limit_s, move |sim| {
+            sim.event(node, incarnation, Event::State { call, outcome: Outcome::Unknown });
+        });
+        let late = self.late_writes > 0.0
+            && matches!(request, Call::Commit(_))
+            && self.rng.random::<f64>() < self.late_writes
+            && !self.state.down
+            && !self.state.refused.contains(&node);
+        if late {
+            let after_s = self.rng.random_range(2.0..12.0);
+            return self.deliver(&End::Node(node), &End::State, move |sim| {
+                sim.after(after_s, move |sim| sim.carry_out_late(request));
+            });
+        }
+        let answer_lost =
+            matches!(request, Call::Commit(_)) && self.strikes(self.message_faults.lost_answers);
+        let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
+        for copy in 0..copies {
+            let request = request.clone();
+            let extra = if copy == 0 { 0.0 } else { self.rng.random_range(0.5..20.0) };
+            let extra = extra + self.state_delay();
+            self.after(extra, move |sim| {
+                sim.deliver(&End::Node(node), &End::State, move |sim| {
+                    let outcome = sim.state.call(sim.now, node, &request);
+                    if copy == 0 && matches!(outcome, Outcome::Committed(_)) {
+                        sim.message_faults.answers_lost += u64::from(answer_lost);
+                        sim.committed(node);
+                    }
+                    if sim.state_mute || answer_lost || copy > 0 {
+                        return;
+                    }
+                    let slow_s = sim.state_delay();
+                    sim.after(slow_s, move |sim| {
+                        sim.deliver(&End::State, &End::Node(node), move |sim| {
+                            sim.event(node, incarnation, Event::State { call, outcome });
+                        });
+                    });
+                });
+            });
+        }
+    }
+
+    /// A transaction of a node has been made.
+    fn committed(&mut self, node: usize) {
+        let Some((left, for_s)) = self.crash_after_commits else { return };
+        if self.leading() != Some(node) {
+            return;
+        }
+        self.crash_after_commits = (left > 1).then_some((left - 1, for_s));
+        if left <= 1 {
+            self.restart(node, for_s);
+        }
+    }
+
+    /// What a slow state service adds to the delay of a message.
+    fn state_delay(&mut self) -> f64 {
+        if self.state_slow > 1.0 { (self.state_slow - 1.0) * self.delay() } else { 0.0 }
+    }
+
+    /// Carries out a transaction that the state service has taken long ago: its node may
+    /// be refused by now, and an outage only puts it off.
+    fn carry_out_late(&mut self, request: Call) {
+        if self.state.down {
+            return self.after(1.0, move |sim| sim.carry_out_late(request));
+        }
+        // Nobody waits for the answer.
+        self.state.call(self.now, usize::MAX, &request);
+    }
+
+    pub(super) fn call_cloud(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: CallId,
+        request: CloudCall,
+        limit_s: f64,
+    ) {
+        self.after(limit_s, move |sim| {
+            sim.event(node, incarnation, Event::Cloud { call, outcome: CloudOutcome::Unknown });
+        });
+        let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
+        for copy in 0..copies {
+            let request = request.clone();
+            let extra = if copy == 0 { 0.1 } else { self.rng.random_range(0.5..20.0) };
+            self.after(extra, move |sim| {
+                sim.deliver(&End::Node(node), &End::Cloud, move |sim| {
+                    let (outcome, came, went) = sim.cloud.call(sim.now, &request);
+                    for name in came {
+                        sim.boot(name);
+                    }
+                    for name in went {
+                        sim.remove_worker(&name);
+                    }
+                    if copy == 0 {
+                        sim.deliver(&End::Cloud, &End::Node(node), move |sim| {
+                            sim.event(node, incarnation, Event::Cloud { call, outcome });
+                        });
+                    }
+                });
+            });
+        }
+    }
+}
