Counts are told again to a controller that was restarted

Tried as a new user would: a controller that was replaced while a job ran showed it as 'queued, 0 tasks done, 0 running' for more than five seconds, until the job's counts changed. Hellos now carry the number that a process drew when it began, in a field that was 0; reads past it, and peers without a level get 0 as before. A leader that sees it change tells all counts once.

Ruled out: telling all counts every ten seconds.

The new test fails without the change.

--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -298,6 +298,8 @@
     resigned: u32,
     hello_at: f64,
     counts_at: f64,
+    /// Another controller began anew since counts were told.
+    peer_restarted: bool,
     confirm_at: f64,
     /// Requests under way that are timed.
     open: HashMap<RequestId, (&'static str, f64)>,
@@ -319,6 +321,8 @@
     leads: u64,
     /// What it understands: see [`mesh::LEVEL`](gladekeel_wire::mesh::LEVEL).
     level: u16,
+    /// The number that its process drew when it began, or 0 from earlier versions.
+    run: u64,
 }
 
 impl Node {
@@ -388,6 +392,7 @@
             resigned: 0,
             hello_at: 0.0,
             counts_at: 0.0,
+            peer_restarted: false,
             confirm_at: 0.0,
             open: HashMap::new(),
             latencies: Latencies::default(),
@@ -574,7 +579,9 @@
             let leads = self.leader.as_ref().map_or(0, |leader| leader.token);
             let hello = Hello { contact_ms: contact.into(), leads: leads.into() };
             for peer in 0..self.peers.len() {
-                self.send(peer, Kind::Hello, LEVEL, 0, hello.as_bytes());
+                // Versions without a level get no number either.
+                let run = if self.peers[peer].level > 0 { self.record.run } else { 0 };
+                self.send(peer, Kind::Hello, LEVEL, run, hello.as_bytes());
             }
             // The store tells of them in its own time; one that it never tells of was
             // no job of this deployment.
--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -52,6 +52,10 @@
                     peer.contact_ms = hello.contact_ms.get();
                     peer.leads = hello.leads.get();
                     peer.level = header.status.get();
+                    // It knows no counts, and would show a running job as queued until the
+                    // job's next change.
+                    self.peer_restarted |= peer.run != header.call.get();
+                    peer.run = header.call.get();
                 }
                 // A leader that the state service no longer answers learns here that
                 // another one leads; to stop early is always safe.
@@ -145,12 +149,18 @@
             return;
         }
         self.counts_at = now;
+        let peer_restarted = std::mem::take(&mut self.peer_restarted);
         let Some(leader) = &mut self.leader else { return };
-        let counts = leader.take_counts();
-        for (id, counts) in &counts {
+        let changed = leader.take_counts();
+        for (id, counts) in &changed {
             self.world.counts.insert(id.clone(), *counts);
         }
-        let rows = counts.iter().map(|(id, counts)| (id, counts.done, counts.running));
+        let told: Vec<(&JobId, &Counts)> = if peer_restarted {
+            self.world.counts.iter().collect()
+        } else {
+            changed.iter().map(|(id, counts)| (id, counts)).collect()
+        };
+        let rows = told.into_iter().map(|(id, counts)| (id, counts.done, counts.running));
         for payload in mesh::write_counts(rows) {
             for peer in 0..self.peers.len() {
                 self.send(peer, Kind::Counts, 0, 0, &payload);
--- a/crates/gladekeel-testkit/tests/two_versions.rs
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -17,7 +17,7 @@
     admin::VersionedSettings,
     cloud::MachineTypes,
     job::{JobState, JobStatus},
-    mesh::{Header, Kind, LEVEL, read_jobs},
+    mesh::{Header, Kind, LEVEL, read_counts, read_jobs},
     state::{Txn, Write},
     worker::{Command, ReportAnswer},
 };
@@ -36,6 +36,8 @@
     state: State,
     /// What the peers' hellos tell from now on; none for a peer that is silent.
     levels: Vec<Option<u16>>,
+    /// The number of the peers' processes in their hellos; 0 as earlier versions have it.
+    processes: u64,
     step: u32,
     requests: u64,
     frames: Vec<(usize, Header, u16, Vec<u8>)>,
@@ -51,6 +53,7 @@
             node: Node::new(example_settings(0, levels.len() + 1), 7, 0.0),
             state: State::new(limits),
             levels: levels.to_vec(),
+            processes: 0,
             step: 0,
             requests: 0,
             frames: Vec::new(),
@@ -108,7 +111,8 @@
             for peer in 0..self.levels.len() {
                 if let (Some(level), 0) = (self.levels[peer], self.step % 20) {
                     let payload = hello(250, 0);
-                    let header = Header::new(Kind::Hello, level, 0, peer as u32 + 1, payload.len());
+                    let (from, len) = (peer as u32 + 1, payload.len());
+                    let header = Header::new(Kind::Hello, level, self.processes, from, len);
                     self.handle(now, Event::Mesh { header, kind: Kind::Hello, payload });
                 }
             }
@@ -351,3 +355,45 @@
     rig.run(5);
     assert!(rounds(&rig) > before, "placing goes on");
 }
+
+/// Guards against a controller that is restarted and shows a running job as queued until
+/// the job's next change.
+#[test]
+fn counts_are_told_again_once_a_controller_has_restarted() {
+    let mut rig = Rig::new(&[Some(LEVEL), Some(1)]);
+    rig.run(5);
+    assert!(rig.node.leader().is_some());
+    let spec = serde_json::to_vec(&example_job("job-1")).unwrap();
+    assert_eq!(rig.ask("/api/jobs", spec).0, 201);
+    rig.run(5);
+    // Nothing changes from here on: there are no machines.
+    for (processes, expected) in [(0, 0), (11, 1), (11, 0), (12, 1), (12, 0)] {
+        rig.frames.clear();
+        rig.processes = processes;
+        rig.run(3);
+        for peer in 0..2 {
+            let counts = rig.frames.iter().filter(|(to, _, kind, _)| *to == peer && *kind == 5);
+            let rows: Vec<(JobId, u32, u32)> =
+                counts.flat_map(|(.., payload)| read_counts(payload).expect("counts")).collect();
+            let row = ("job-1".parse().unwrap(), 0, 0);
+            assert_eq!(rows, vec![row; expected], "processes {processes}, peer {peer}");
+        }
+    }
+}
+
+/// Guards against a number that never changes, or that every process has.
+#[test]
+fn hellos_number_the_process() {
+    let numbers = |seed: u64| {
+        let mut rig = Rig::new(&[Some(LEVEL), Some(0)]);
+        rig.node = Node::new(example_settings(0, 3), seed, 0.0);
+        rig.run(5);
+        let hellos = rig.frames.iter().filter(|(_, _, kind, _)| *kind == 4);
+        let calls = hellos.map(|(peer, header, ..)| (*peer, header.call.get()));
+        calls.collect::<std::collections::BTreeSet<_>>()
+    };
+    let (first, second) = (numbers(1), numbers(2));
+    assert!(first.contains(&(1, 0)) && first.iter().filter(|(peer, _)| *peer == 1).count() == 1);
+    assert_eq!(first.iter().filter(|(peer, number)| *peer == 0 && *number != 0).count(), 1);
+    assert_ne!(first, second);
+}
