A change of settings on a node that is behind is refused

The settings that a change does not name were taken from the node's copy, while the version was only compared with the store: a node that had not read the named version yet put all other settings back to what it knew. It now answers 409 unless its copy has that version, and reads the store.

--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -21,6 +21,9 @@
 /// Longest accepted name of a machine.
 const MAX_MACHINE_NAME: usize = 100;
 
+/// Answer to a change of something that is no longer as the operator has read it.
+const CHANGED_MEANWHILE: &str = "changed by somebody else meanwhile: read it again";
+
 /// Why a path under `/admin` leads nowhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum NoRoute {
@@ -154,6 +157,12 @@
             Ok(options) => options,
             Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
         };
+        // The settings that are not named stay as they are in this node's copy, so that has
+        // to be the version which the operator has read.
+        if wanted.version != self.world.options_version {
+            self.sync_wanted = true;
+            return self.reply(now, id, Reply::error(409, CHANGED_MEANWHILE));
+        }
         let values = options.values();
         let value = serde_json::to_value(&values).expect("numbers always serialise");
         let key = keys::OPTIONS.to_owned();
@@ -174,9 +183,7 @@
     ) {
         let reply = match outcome {
             Outcome::Committed(revision) => change_made(*revision, change),
-            Outcome::Conflict(_) => {
-                Reply::error(409, "changed by somebody else meanwhile: read it again")
-            }
+            Outcome::Conflict(_) => Reply::error(409, CHANGED_MEANWHILE),
             Outcome::Unknown => {
                 Reply::later(503, 1, "no answer: it may or may not be made; read it again")
             }
--- a/crates/gladekeel-testkit/tests/two_versions.rs
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -356,6 +356,23 @@
     assert!(rounds(&rig) > before, "placing goes on");
 }
 
+/// Guards against a change on a node that has not read the version which it changes: it
+/// put all other settings back to what that node knew.
+#[test]
+fn a_node_that_is_behind_changes_no_other_setting() {
+    let mut rig = Rig::new(&[Some(LEVEL)]);
+    rig.run(5);
+    let version = rig.store(keys::OPTIONS, json!({"beta": 1.5}));
+    let change = json!({"version": version, "settings": {"idle_s": 20.0}}).to_string();
+    let (status, _) = rig.request("PUT", "/admin/settings", change.clone().into_bytes());
+    assert_eq!(status, 409);
+    let (status, body) = rig.request("PUT", "/admin/settings", change.into_bytes());
+    assert_eq!(status, 200, "it has read them by now");
+    let changed: VersionedSettings = serde_json::from_slice(&body).unwrap();
+    assert_eq!((changed.settings["beta"], changed.settings["idle_s"]), (1.5, 20.0));
+    assert!(changed.version > version);
+}
+
 /// Guards against a controller that is restarted and shows a running job as queued until
 /// the job's next change.
 #[test]
