Administration: unknown fields of a request are ignored, as everywhere

A client that is newer than the server may send more. A request that lacks a field, by a misspelling or otherwise, is still refused, and so is an empty change.

--- a/crates/gladekeel-wire/src/admin.rs
+++ b/crates/gladekeel-wire/src/admin.rs
@@ -17,7 +17,6 @@
 /// What a `PUT /admin/settings` asks for; the values are checked one by one, so that an
 /// error can name the setting and its range.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct SettingsChange {
     /// Version of the settings that are changed.
     pub version: u64,
