A gang is judged by the amounts that placing counts in

Tasks' amounts are rounded up to thousandths when they are placed, but a submission was judged by the plain product. A gang of 19,000 tasks of 0.0101 CPUs (191.9 in all, 209 as counted) was accepted by a team that may use 200, and waited for ever. Seen: gang-submissions gets 201 without the change and 422 with it. Finer amounts would accept it; they are not needed by any deployment so far.

--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -132,17 +132,20 @@
         return Verdict::Never(format!("no team {:?}", spec.team));
     };
     // Tasks of an array can run one after the other; a gang or a service needs all.
-    let at_once = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
-    if spec.cpus * at_once > team.cpus_max || spec.gpus * at_once > team.gpus_max {
+    let at_once = if spec.kind == Kind::Array { 1 } else { spec.tasks };
+    let task = Room::taken(spec.cpus, spec.gpus, spec.memory_gb);
+    // In the amounts that placing counts in: whatever is accepted here can be placed.
+    let needed = task * i64::from(at_once);
+    let limit = Room::offered(team.cpus_max, team.gpus_max, 0.0);
+    if needed.cpus > limit.cpus || needed.gpus > limit.gpus {
         return Verdict::Never("the job needs more than the team's limit".into());
     }
     let Some((types, _)) = &world.types else { return Verdict::Unknown };
-    let task = Room::taken(spec.cpus, spec.gpus, spec.memory_gb);
     let allowed = allowed_types(types, spec, task);
     if allowed.is_empty() {
         return Verdict::Never("a task fits no allowed machine type".into());
     }
-    if spec.spread && at_once > 1.0 && (spec.one_zone || zones_of(&allowed, spec).len() == 1) {
+    if spec.spread && at_once > 1 && (spec.one_zone || zones_of(&allowed, spec).len() == 1) {
         return Verdict::Never("all tasks are in one zone, and at most half of them may be".into());
     }
     Verdict::Fine
