Silent machines are given up by the leader's last contact with the state service

Cause: a leader that has lost the state service and the other controllers does not hear of cancellations made right after. Machines that go on hear no renewed lease in time, but a zone that hangs while its leases still run was given up only by its own silence, which may be too late. Ruled out: another leader ends them, since the state service is out for everybody; shorter leases in every outage, which would cost all running work after 15 s of it. Now, from 15 s before cancel_s after the last contact, a machine silent for silent_s is deleted.

--- a/crates/gladekeel-controller/src/leader/liveness.rs
+++ b/crates/gladekeel-controller/src/leader/liveness.rs
@@ -75,7 +75,7 @@
             .collect();
         let survey = self.survey(now, options, joined);
         self.note_reach(now, &survey);
-        let limits = self.silence_limits(options);
+        let limits = self.silence_limits(now, options);
         for (ix, machine) in &mut self.cluster.machines {
             if machine.delete.is_some() || machine.gone {
                 continue;
@@ -132,7 +132,7 @@
         }
     }
 
-    fn silence_limits(&self, options: &Options) -> SilenceLimits {
+    fn silence_limits(&self, now: f64, options: &Options) -> SilenceLimits {
         let workers = &self.params.workers;
         let late_s = workers.late_s();
         SilenceLimits {
@@ -142,6 +142,7 @@
             silent_s: options.silent_s,
             mute_s: MUTE_REPORTS * late_s + MUTE_MARGIN_S,
             cut_s: (workers.lease_s + 2.0 * options.silent_s).min(workers.cancel_s - GIVE_UP_S),
+            cancellations_due: now >= self.store_contact_at + workers.cancel_s - DELETE_S,
         }
     }
 }
@@ -160,6 +161,9 @@
     mute_s: f64,
     /// A zone that is silent as a whole is given up.
     cut_s: f64,
+    /// The state service has been out of reach for so long that a job which was cancelled
+    /// right after the last contact must soon be off every machine, hanging ones included.
+    cancellations_due: bool,
 }
 
 /// Who was heard, as of one look at all machines.
@@ -277,9 +281,11 @@
         }
         let dead = self.suspect_since.is_some_and(|since| now - since >= SUSPECT_S);
         // Silence of a whole zone may be a cut, and its machines may be at work behind it:
-        // only a long one is taken for their end.
+        // only a long one is taken for their end, unless cancelled tasks that this leader
+        // has not heard of may be on them.
         let silent = (quiet.min(reached_s) > limits.silent_s && dead)
             || (survey.heard_any && quiet > limits.cut_s)
+            || (survey.heard_any && limits.cancellations_due && quiet > limits.silent_s)
             || quiet > LEASES_SILENT * limits.lease_s;
         if !silent {
             return None;
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -164,6 +164,8 @@
     spend_at: f64,
     spend_told: f64,
     contact: Contact,
+    /// When the request was sent whose answer is the last one of the state service.
+    store_contact_at: f64,
     /// Where the search for slow machines goes on.
     slow_from: u32,
     salt: u64,
@@ -224,6 +226,7 @@
             spend_at: now,
             spend_told: now,
             contact: Contact::new(now, &params.workers),
+            store_contact_at: now,
             slow_from: 0,
             salt,
             fence: false,
@@ -292,6 +295,11 @@
             || self.next_attempt + 2 * u64::from(MAX_TASKS) > (self.token + 1) * ATTEMPTS_PER_TOKEN
     }
 
+    /// Notes the node's last contact with the state service, if there was one.
+    pub fn note_store_contact(&mut self, at: Option<f64>) {
+        self.store_contact_at = at.unwrap_or(self.store_contact_at);
+    }
+
     /// Machines that should report, and how long none of them has.
     pub fn silence(&self, now: f64) -> (usize, f64) {
         self.contact.silence(now)
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -569,6 +569,7 @@
                 .filter(|(_, peer)| peer.heard_at.is_some_and(|at| now - at < HELLO_S));
             let zones: Vec<&str> =
                 heard.map(|(at, _)| self.settings.peers[at].zone.as_str()).collect();
+            leader.note_store_contact(self.contact);
             leader.tick(now, &self.options, &self.settings.zone, &zones);
             self.resign_if_deaf(now);
         }
