--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -215,7 +215,7 @@
             let Counts { done, running } = self.world.counts.get(id).copied().unwrap_or_default();
             team.cpus += job.spec.cpus * f64::from(running);
             team.gpus += job.spec.gpus * f64::from(running);
-            if !self.world.fates.contains_key(id) {
+            if !self.world.final_states.contains_key(id) {
                 team.jobs += 1;
                 team.waiting += u64::from(job.spec.tasks.saturating_sub(done + running));
             }
--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -107,7 +107,7 @@
 
 /// The state of a job as the store has it; none if there is no such job.
 pub fn status(world: &World, id: &JobId) -> Option<JobStatus> {
-    if let Some(state) = world.fates.get(id) {
+    if let Some(state) = world.final_states.get(id) {
         return Some(JobStatus { id: id.clone(), state: *state, done: None, running: None });
     }
     world.jobs.get(id)?;
--- a/crates/gladekeel-controller/src/checkin.rs
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -25,8 +25,8 @@
     NotEntitled,
 }
 
-/// What a node knows when a report arrives.
-pub struct Standing<'a> {
+/// The state of a node as a report arrives.
+pub struct ReportContext<'a> {
     /// The time.
     pub now: f64,
     /// The store as last seen.
@@ -35,28 +35,35 @@
     pub leader_elsewhere: Option<&'a str>,
     /// Whether tasks may be kept alive: the store was heard of recently enough
     /// for a cancellation that this node has not heard of to end in time.
-    pub may_keep: bool,
+    pub may_renew_leases: bool,
     /// Whether the store was heard of just now.
     pub fresh: bool,
     /// Whether reports can be passed on to the leader.
     pub may_relay: bool,
 }
 
-/// Workers that were sent to the leader: when, and under which token.
+/// A worker that was redirected to the leader.
+#[derive(Debug, Clone, Copy)]
+struct Redirected {
+    at: f64,
+    token: u64,
+}
+
+/// Answers reports, and remembers which workers were redirected to the leader.
 #[derive(Debug, Default)]
-pub struct Desk {
-    sent_on: HashMap<String, (f64, u64)>,
+pub struct ReportRouter {
+    redirected: HashMap<String, Redirected>,
     /// The same in order, to forget the oldest ones.
     order: VecDeque<(f64, String)>,
 }
 
-impl Desk {
+impl ReportRouter {
     fn forget_old(&mut self, now: f64) {
         while self.order.front().is_some_and(|(at, _)| now - at >= 10.0 * TRY_LEADER_S) {
             let Some((at, machine)) = self.order.pop_front() else { return };
-            // It may have been sent on once more since.
-            if self.sent_on.get(&machine).is_some_and(|(last, _)| *last <= at) {
-                self.sent_on.remove(&machine);
+            // It may have been redirected once more since.
+            if self.redirected.get(&machine).is_some_and(|last| last.at <= at) {
+                self.redirected.remove(&machine);
             }
         }
     }
@@ -64,36 +71,36 @@
     /// Answers a report.
     pub fn answer(
         &mut self,
-        standing: &Standing<'_>,
+        context: &ReportContext<'_>,
         leader: Option<&mut Leader>,
         report: &Report,
     ) -> Answer {
-        let now = standing.now;
+        let now = context.now;
         if let Some(leader) = leader {
             // A worker that has seen a higher token would drop the answer.
-            if !standing.may_keep || report.token > leader.token {
+            if !context.may_renew_leases || report.token > leader.token {
                 return Answer::NotEntitled;
             }
-            return Answer::Commands(leader.on_report(now, report, standing.fresh));
+            return Answer::Commands(leader.on_report(now, report, context.fresh));
         }
-        let token = standing.world.token;
-        if let Some(name) = standing.leader_elsewhere {
+        let token = context.world.token;
+        if let Some(name) = context.leader_elsewhere {
             self.forget_old(now);
-            let tried = self.sent_on.get(&report.machine);
-            let again_s = if standing.may_relay { TRY_RELAYED_S } else { TRY_LEADER_S };
-            if tried.is_none_or(|(at, under)| now - at >= again_s || *under != token) {
-                self.sent_on.insert(report.machine.clone(), (now, token));
+            let last = self.redirected.get(&report.machine);
+            let again_s = if context.may_relay { TRY_RELAYED_S } else { TRY_LEADER_S };
+            if last.is_none_or(|last| now - last.at >= again_s || last.token != token) {
+                self.redirected.insert(report.machine.clone(), Redirected { at: now, token });
                 self.order.push_back((now, report.machine.clone()));
                 return Answer::Elsewhere(Redirect { report_to: Some(name.to_owned()) });
             }
         }
-        if !standing.may_keep || token == 0 || report.token > token {
+        if !context.may_renew_leases || token == 0 || report.token > token {
             return Answer::NotEntitled;
         }
         // Nobody who could command it can be reached: keep its tasks alive, except
         // those that were cancelled.
         let cancelled = report.tasks.iter().filter(|task| {
-            task.state != TaskState::Exited && standing.world.is_cancelled(&task.task.job)
+            task.state != TaskState::Exited && context.world.is_cancelled(&task.task.job)
         });
         let commands = cancelled
             .map(|task| Command::Stop {
--- a/crates/gladekeel-controller/src/keys.rs
+++ b/crates/gladekeel-controller/src/keys.rs
@@ -30,7 +30,7 @@
 /// Field of a stored job: the time of day at which it was accepted.
 pub const ACCEPTED_AT: &str = "accepted_at";
 /// Prefix of final states.
-pub const FATE: &str = "gk/fate/";
+pub const FINAL_STATE: &str = "gk/fate/";
 /// Prefix of the log's segments.
 pub const LOG: &str = "gl/";
 /// Prefix of the pages in which the first version kept assignments.
@@ -45,8 +45,8 @@
 }
 
 /// The key of a job's final state.
-pub fn fate(id: &JobId) -> String {
-    format!("{FATE}{id}")
+pub fn final_state(id: &JobId) -> String {
+    format!("{FINAL_STATE}{id}")
 }
 
 /// The key that says that a machine is to be drained.
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -259,7 +259,9 @@
             }
             Outcome::Conflict(failed) => {
                 let theirs = |key: &String| {
-                    [keys::FATE, keys::JOB, keys::DRAIN].iter().any(|own| key.starts_with(own))
+                    [keys::FINAL_STATE, keys::JOB, keys::DRAIN]
+                        .iter()
+                        .any(|own| key.starts_with(own))
                 };
                 self.undo(sent);
                 self.commits.not_before = now + 0.25;
--- a/crates/gladekeel-controller/src/leader/commit/draft.rs
+++ b/crates/gladekeel-controller/src/leader/commit/draft.rs
@@ -140,7 +140,7 @@
                 return false;
             }
             draft.guard(keys::job(&job.id), job.version);
-            draft.put(keys::fate(&job.id), 0, &JobState::Done);
+            draft.put(keys::final_state(&job.id), 0, &JobState::Done);
             draft.sent.final_states.push(*ix);
         }
         true
--- a/crates/gladekeel-controller/src/leader/job_changes.rs
+++ b/crates/gladekeel-controller/src/leader/job_changes.rs
@@ -20,7 +20,7 @@
         if let Some(accepted) = stored.accepted_at {
             job.known_at = (accepted - self.epoch).min(now);
         }
-        job.final_state = world.fates.get(id).copied();
+        job.final_state = world.final_states.get(id).copied();
         job.called_off = world.called_off.contains_key(id);
         let after = world.cancelled_after.get(id).or(world.called_off.get(id));
         job.cancelled_after = after.copied().unwrap_or(f64::NEG_INFINITY);
@@ -41,7 +41,7 @@
     pub fn apply_final_state(&mut self, world: &World, id: &JobId) {
         let Some(ix) = self.job_names.get(id) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
-        let Some(final_state) = world.fates.get(id).copied() else { return };
+        let Some(final_state) = world.final_states.get(id).copied() else { return };
         job.final_state = Some(final_state);
         if !job.called_off {
             let after = world.cancelled_after.get(id).copied();
--- a/crates/gladekeel-controller/src/metrics.rs
+++ b/crates/gladekeel-controller/src/metrics.rs
@@ -142,7 +142,7 @@
         let leading = f64::from(u8::from(self.leader.is_some()));
         out.gauge("leading", "Whether this node leads.", leading);
         out.gauge("token", "The fencing token.", self.world.token as f64);
-        let takeovers = self.reign as f64;
+        let takeovers = self.leadership as f64;
         out.counter("takeovers_total", "Times that this node began to lead.", takeovers);
         if let Some(contact) = self.contact {
             let help = "Age of the last contact to the state service.";
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     admin::AdminChange,
     api::Route,
-    checkin::{Answer, Desk, Standing},
+    checkin::{Answer, ReportContext, ReportRouter},
     cloud::{CloudCall, CloudOutcome},
     election::Election,
     keys::{self, LeaderRecord},
@@ -204,7 +204,7 @@
     flying: bool,
     not_before: f64,
     /// What is known from leading under a lower token.
-    know: Option<ClusterState>,
+    cluster: Option<ClusterState>,
 }
 
 /// A change that a user asked for.
@@ -286,7 +286,7 @@
     /// The last token under which this process led. Attempts are numbered by token, so
     /// it never leads under the same one again.
     spent: u64,
-    desk: Desk,
+    report_router: ReportRouter,
     /// Reports passed on to the leader, with what to answer if it does not.
     relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
     /// Calls to workers that may be under way at once.
@@ -308,7 +308,8 @@
     pub(crate) state_requests: u64,
     pub(crate) state_writes: u64,
     actions: Vec<Action>,
-    pub(crate) reign: u64,
+    /// Counts the times this process has begun to lead, new tokens in a row not counted.
+    pub(crate) leadership: u64,
 }
 
 /// What a node knows of another.
@@ -375,7 +376,7 @@
             leader: None,
             takeover: None,
             spent: 0,
-            desk: Desk::default(),
+            report_router: ReportRouter::default(),
             relays: BTreeMap::new(),
             max_direct: Sockets::of(&params.limits).calls,
             requests: Bucket::new(share * 0.6, share * 0.4),
@@ -400,7 +401,7 @@
             state_requests: 0,
             state_writes: 0,
             actions: Vec::new(),
-            reign: 0,
+            leadership: 0,
             settings,
             params,
         }
@@ -423,7 +424,7 @@
             Event::Tick => self.on_tick(now),
         }
         self.pump(now);
-        self.pump_direct(now);
+        self.send_direct_commands(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -437,7 +438,7 @@
     }
 
     /// Whether leases may be renewed: see `docs/safety.md`, "Keeping leases alive".
-    fn may_keep(&self, now: f64) -> bool {
+    fn may_renew_leases(&self, now: f64) -> bool {
         let workers = &self.params.workers;
         let bound = workers.cancel_s - workers.lease_s - MARGIN_S;
         self.contact.is_some_and(|at| now - at < bound)
@@ -495,15 +496,15 @@
             Some(&peer.name) == elsewhere.as_ref()
                 && peer.heard_at.is_some_and(|at| now - at < HELLO_S)
         });
-        let standing = Standing {
+        let context = ReportContext {
             now,
             world: &self.world,
             leader_elsewhere: elsewhere.as_deref(),
-            may_keep: self.may_keep(now),
+            may_renew_leases: self.may_renew_leases(now),
             fresh: self.fresh(now),
             may_relay: relay.is_some(),
         };
-        let reply = match self.desk.answer(&standing, self.leader.as_mut(), &report) {
+        let reply = match self.report_router.answer(&context, self.leader.as_mut(), &report) {
             Answer::Commands(answer) => Reply::json(200, &answer),
             Answer::Keep(answer) => {
                 if let Some(peer) = relay {
@@ -521,15 +522,15 @@
     }
 
     fn on_cloud(&mut self, now: f64, call: CallId, outcome: CloudOutcome) {
-        let Some((reign, request)) = self.cloud_calls.remove(&call) else { return };
-        if reign != self.reign {
+        let Some((leadership, request)) = self.cloud_calls.remove(&call) else { return };
+        if leadership != self.leadership {
             return;
         }
         match &mut self.leader {
             Some(leader) => leader.cloud_answered(now, &request, outcome),
             // Between two tokens: the knowledge that waits for the next one still counts
             // the call as under way, and nothing else would ever end that.
-            None if self.takeover.as_ref().is_some_and(|takeover| takeover.know.is_some()) => {
+            None if self.takeover.as_ref().is_some_and(|takeover| takeover.cluster.is_some()) => {
                 self.held_answers.push((request, outcome));
             }
             None => {}
@@ -554,7 +555,7 @@
                 self.relays.insert(call, (id, since, answer));
                 break;
             }
-            let reply = if self.may_keep(now) {
+            let reply = if self.may_renew_leases(now) {
                 Reply::json(200, &answer)
             } else {
                 Reply::later(503, 1, "not entitled to act")
@@ -573,7 +574,7 @@
             leader.tick(now, &self.options, &self.settings.zone, &zones);
             self.resign_if_deaf(now);
         }
-        self.tell_counts(now);
+        self.publish_counts(now);
         if now - self.hello_at >= 1.0 {
             self.hello_at = now;
             let contact = self.contact.map_or(u32::MAX, |at| ((now - at) * 1000.0) as u32);
@@ -620,8 +621,8 @@
 
     /// Sends whatever is due.
     fn pump(&mut self, now: f64) {
-        self.pump_sync(now);
-        self.pump_writes(now);
+        self.send_reading(now);
+        self.send_user_writes(now);
         if self.fresh(now) {
             // After stepping down in vain, too, a new token is needed.
             let idle = self.leader.is_none() && self.takeover.is_none();
@@ -641,7 +642,7 @@
             let call = Call::List { prefix: keys::LOG.into(), after };
             self.call_state(now, Purpose::Log(token), call);
         }
-        self.pump_confirm(now);
+        self.send_confirmation(now);
         if let Some(leader) = &mut self.leader {
             let token = leader.token;
             if let Some(txn) = leader.next_commit(now, &mut self.leader_writes) {
@@ -655,13 +656,13 @@
             self.cloud.take(now, 1.0);
             let call = self.next_call;
             self.next_call += 1;
-            self.cloud_calls.insert(call, (self.reign, request.clone()));
+            self.cloud_calls.insert(call, (self.leadership, request.clone()));
             self.actions.push(Action::Cloud { call, request, limit_s: CLOUD_S });
         }
     }
 
     /// Sends commands and questions to workers.
-    fn pump_direct(&mut self, now: f64) {
+    fn send_direct_commands(&mut self, now: f64) {
         let may_start = self.fresh(now);
         let recent = self.direct_calls.values().rev();
         let mut recent = recent.take_while(|(_, at)| now - at < HANGS_S).count();
--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -70,11 +70,11 @@
                     return;
                 };
                 let report = serde_json::from_slice::<Report>(payload);
-                let (may_keep, fresh) = (self.may_keep(now), self.fresh(now));
+                let (may_renew_leases, fresh) = (self.may_renew_leases(now), self.fresh(now));
                 // Only a leader with something to say answers; the other node keeps
                 // the worker's lease otherwise.
                 if let (Some(leader), Ok(report)) = (&mut self.leader, report)
-                    && may_keep
+                    && may_renew_leases
                     && report.token <= leader.token
                 {
                     let answer = leader.on_report(now, &report, fresh);
@@ -117,7 +117,7 @@
     /// A job's cancellation is committed, some time after `after`; the store has not told
     /// of it yet, and may not for long.
     pub(super) fn call_off(&mut self, id: &JobId, after: f64) {
-        if self.world.fates.contains_key(id) {
+        if self.world.final_states.contains_key(id) {
             return;
         }
         self.world.called_off.insert(id.clone(), after);
@@ -129,7 +129,7 @@
     /// Tells the other controllers of cancellations that were committed here. A leader
     /// that the state service refuses stops the jobs' tasks at once instead of letting
     /// them run out with their leases; no bound depends on that it hears.
-    pub(super) fn tell_cancelled(&mut self, now: f64, ids: &[JobId]) {
+    pub(super) fn publish_cancellations(&mut self, now: f64, ids: &[JobId]) {
         if ids.is_empty() {
             return;
         }
@@ -144,7 +144,7 @@
     }
 
     /// Tells the other controllers how far jobs are, for display.
-    pub(super) fn tell_counts(&mut self, now: f64) {
+    pub(super) fn publish_counts(&mut self, now: f64) {
         if now - self.counts_at < COUNTS_S {
             return;
         }
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -118,7 +118,7 @@
                         }
                     }
                 }
-                Topic::Fate(id) => {
+                Topic::FinalState(id) => {
                     if let Some(leader) = &mut self.leader {
                         leader.apply_final_state(&self.world, &id);
                     }
@@ -173,14 +173,14 @@
             return;
         }
         // The same incarnation under a higher token: what it knows of machines holds.
-        let know = match (self.leader.take(), self.takeover.take()) {
+        let cluster = match (self.leader.take(), self.takeover.take()) {
             (Some(leader), _) => Some(leader.into_cluster_state()),
-            (None, takeover) => takeover.and_then(|takeover| takeover.know),
+            (None, takeover) => takeover.and_then(|takeover| takeover.cluster),
         };
         // Answers of the cloud are of use to the same knowledge that asked.
-        self.reign += u64::from(know.is_none());
+        self.leadership += u64::from(cluster.is_none());
         let rows = Vec::new();
-        self.takeover = Some(Takeover { token, rows, flying: false, not_before: now, know });
+        self.takeover = Some(Takeover { token, rows, flying: false, not_before: now, cluster });
     }
 
     /// The leader's call that changes the store, if one is under way: when it was sent.
@@ -191,7 +191,7 @@
     }
 
     /// Looks in the store for a transaction whose answer is slow to come.
-    pub(super) fn pump_confirm(&mut self, now: f64) {
+    pub(super) fn send_confirmation(&mut self, now: f64) {
         let Some(leader) = &self.leader else { return };
         let (token, mark) = (leader.token, leader.commit_mark());
         let slow = self.lead_call(token).is_some_and(|(_, at)| now - at >= CONFIRM_S);
@@ -238,12 +238,13 @@
         };
         let rows: Option<Vec<LogRow>> =
             std::mem::take(&mut takeover.rows).into_iter().map(read).collect();
-        let (know, salt) = (takeover.know.take(), self.rng.random());
+        let (cluster, salt) = (takeover.cluster.take(), self.rng.random());
         let leader = match rows {
             // Attempts of a job that cannot be read would count as attempts of none.
             Some(rows) if !self.world.old_layout && self.world.unreadable.is_empty() => {
                 let (epoch, params) = (self.epoch, self.params.clone());
-                Leader::new(&self.world, rows, Start { token, now, epoch, params, salt }, know).ok()
+                Leader::new(&self.world, rows, Start { token, now, epoch, params, salt }, cluster)
+                    .ok()
             }
             _ => None,
         };
@@ -263,7 +264,7 @@
         }
     }
 
-    pub(super) fn pump_sync(&mut self, now: f64) {
+    pub(super) fn send_reading(&mut self, now: f64) {
         if now < self.sync_not_before {
             return;
         }
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -76,7 +76,7 @@
 
     /// A final state never changes, so it can be told without asking the store.
     pub(super) fn final_status(&self, id: &JobId) -> Option<JobStatus> {
-        self.world.fates.get(id)?;
+        self.world.final_states.get(id)?;
         api::status(&self.world, id)
     }
 
@@ -134,7 +134,7 @@
                 self.answer_settings(now, request);
                 continue;
             };
-            if self.world.is_unreadable(&id) && !self.world.fates.contains_key(&id) {
+            if self.world.is_unreadable(&id) && !self.world.final_states.contains_key(&id) {
                 self.later(now, request, "what is stored of the job cannot be read");
                 continue;
             }
@@ -171,7 +171,7 @@
             Outcome::Committed(_) => {
                 let cancelled = writes.iter().filter(|write| write.spec.is_none());
                 let cancelled: Vec<JobId> = cancelled.map(|write| write.id.clone()).collect();
-                self.tell_cancelled(now, &cancelled);
+                self.publish_cancellations(now, &cancelled);
                 for id in cancelled {
                     // A leader's own reading may not come for long either.
                     self.call_off(&id, now);
@@ -190,7 +190,7 @@
             Outcome::Conflict(failed) => {
                 for mut write in writes {
                     write.tries += 1;
-                    let own = [keys::job(&write.id), keys::fate(&write.id)];
+                    let own = [keys::job(&write.id), keys::final_state(&write.id)];
                     if !failed.is_empty() && !own.iter().any(|key| failed.contains(key)) {
                         self.writes.push_front(write);
                         continue;
@@ -267,7 +267,7 @@
                 writes
                     .extract_if(.., |write| match write.spec {
                         Some(_) => world.jobs.contains_key(&write.id),
-                        None => world.fates.contains_key(&write.id),
+                        None => world.final_states.contains_key(&write.id),
                     })
                     .map(|write| (*call, write)),
             );
@@ -287,7 +287,7 @@
         }
     }
 
-    pub(super) fn pump_writes(&mut self, now: f64) {
+    pub(super) fn send_user_writes(&mut self, now: f64) {
         if self.writes_flying >= MAX_USER_COMMITS
             || self.writes.is_empty()
             || now < self.writes_not_before
@@ -307,8 +307,8 @@
                 kept.push_back(write);
                 continue;
             }
-            let (job, fate) = (keys::job(&write.id), keys::fate(&write.id));
-            txn.guards.push(Guard { key: fate.clone(), version: 0 });
+            let (job, final_state) = (keys::job(&write.id), keys::final_state(&write.id));
+            txn.guards.push(Guard { key: final_state.clone(), version: 0 });
             match &write.spec {
                 Some(spec) => {
                     let mut value =
@@ -326,7 +326,7 @@
                         .expect("wire types always serialise");
                     bytes += 400;
                     txn.guards.push(Guard { key: job, version });
-                    txn.writes.push(Write::Put { key: fate, value, lease: None });
+                    txn.writes.push(Write::Put { key: final_state, value, lease: None });
                 }
             }
             batch.push(write);
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -31,7 +31,7 @@
     /// Jobs that are not cleared away.
     pub jobs: BTreeMap<JobId, StoredJob>,
     /// Final states, for ever.
-    pub fates: HashMap<JobId, JobState>,
+    pub final_states: HashMap<JobId, JobState>,
     /// Jobs that are cancelled and not cleared away: the last time at which that was not
     /// so yet, on this node's clock. Their users cannot have been told earlier.
     pub cancelled_after: HashMap<JobId, f64>,
@@ -74,7 +74,7 @@
     /// A new job.
     Job(JobId),
     /// A final state.
-    Fate(JobId),
+    FinalState(JobId),
     /// The operators' settings.
     Options,
     /// A machine that is to be drained, or no longer.
@@ -92,14 +92,14 @@
 impl World {
     /// Whether a job's tasks must end, as far as this node knows.
     pub fn is_cancelled(&self, id: &JobId) -> bool {
-        self.fates.get(id) == Some(&JobState::Cancelled) || self.called_off.contains_key(id)
+        self.final_states.get(id) == Some(&JobState::Cancelled) || self.called_off.contains_key(id)
     }
 
     /// Whether what the store holds of a job cannot be read.
     pub fn is_unreadable(&self, id: &JobId) -> bool {
         !self.unreadable.is_empty()
             && (self.unreadable.contains(&keys::job(id))
-                || self.unreadable.contains(&keys::fate(id)))
+                || self.unreadable.contains(&keys::final_state(id)))
     }
 
     /// Reads the value behind a key, if there is one, and remembers whether that failed.
@@ -133,17 +133,17 @@
             }
             return Topic::Job(id);
         }
-        if let Some(name) = key.strip_prefix(keys::FATE) {
+        if let Some(name) = key.strip_prefix(keys::FINAL_STATE) {
             let Ok(id) = name.parse::<JobId>() else { return Topic::Other };
             if let Some(state) = self.read_or_note::<JobState>(change) {
                 // The first final state wins, for ever.
-                let first = *self.fates.entry(id.clone()).or_insert(state);
+                let first = *self.final_states.entry(id.clone()).or_insert(state);
                 if first == JobState::Cancelled && self.jobs.contains_key(&id) {
                     self.cancelled_after.entry(id.clone()).or_insert(after);
                 }
                 self.counts.remove(&id);
             }
-            return Topic::Fate(id);
+            return Topic::FinalState(id);
         }
         if key.starts_with(keys::OLD_PAGES) {
             self.old_layout |= change.now.is_some();
--- a/crates/gladekeel-controller/tests/formats_37c5e95.rs
+++ b/crates/gladekeel-controller/tests/formats_37c5e95.rs
@@ -164,7 +164,7 @@
 fn keys_are_production_s() {
     let id = job("job-000412");
     assert_eq!(keys::job(&id), "gk/job/job-000412");
-    assert_eq!(keys::fate(&id), "gk/fate/job-000412");
+    assert_eq!(keys::final_state(&id), "gk/fate/job-000412");
     assert_eq!(keys::drain("n-000007"), "gk/drain/n-000007");
     assert_eq!(keys::log(1), "gl/000001");
     assert_eq!((keys::LEADER, keys::TYPES, keys::OPTIONS), ("gk/leader", "gk/types", "gk/options"));
@@ -182,8 +182,8 @@
         let expected = match key.as_str() {
             "gk/job/job-000412" => Topic::Job(a.clone()),
             "gk/job/job-a_b.c-9" => Topic::Job(b.clone()),
-            "gk/fate/job-000412" => Topic::Fate(a.clone()),
-            "gk/fate/job-a_b.c-9" => Topic::Fate(b.clone()),
+            "gk/fate/job-000412" => Topic::FinalState(a.clone()),
+            "gk/fate/job-a_b.c-9" => Topic::FinalState(b.clone()),
             "gk/options" => Topic::Options,
             "gk/drain/n-000007" => Topic::Drain("n-000007".into()),
             _ => Topic::Other,
@@ -251,9 +251,9 @@
         assert_eq!(ours, value(&keys::job(&spec.id)));
     }
 
-    assert_eq!(world.fates.len(), 2);
-    assert_eq!(world.fates[&a], JobState::Done);
-    assert_eq!(world.fates[&b], JobState::Cancelled);
+    assert_eq!(world.final_states.len(), 2);
+    assert_eq!(world.final_states[&a], JobState::Done);
+    assert_eq!(world.final_states[&b], JobState::Cancelled);
     assert!(world.is_cancelled(&b) && !world.is_cancelled(&a));
     // The time is this node's own: production stores none.
     assert_eq!(world.cancelled_after.get(&b), Some(&5.0));
--- a/crates/gladekeel-controller/tests/formats_fe9a16c.rs
+++ b/crates/gladekeel-controller/tests/formats_fe9a16c.rs
@@ -205,10 +205,10 @@
     assert_eq!((gang.checkpoint_s, gang.save_s), (5.0, 2.0));
     assert_eq!(world.jobs[&job("job-g.1")].accepted_at, Some(3.305527));
 
-    let fates =
-        ["job-a-3", "job-g.1", "job-g.5", "job-g_2", "job-s.4"].map(|id| world.fates[&job(id)]);
+    let final_states = ["job-a-3", "job-g.1", "job-g.5", "job-g_2", "job-s.4"]
+        .map(|id| world.final_states[&job(id)]);
     let (done, cancelled) = (JobState::Done, JobState::Cancelled);
-    assert_eq!(fates, [done, done, done, cancelled, cancelled]);
+    assert_eq!(final_states, [done, done, done, cancelled, cancelled]);
 }
 
 /// Guards against values that fe9a16c could not read back: this version writes the same.
@@ -222,7 +222,7 @@
             let mut value = serde_json::to_value(&spec).unwrap();
             value[keys::ACCEPTED_AT] = stored[keys::ACCEPTED_AT].clone();
             value
-        } else if key.starts_with(keys::FATE) {
+        } else if key.starts_with(keys::FINAL_STATE) {
             let state: JobState = serde_json::from_value(stored.clone()).unwrap();
             serde_json::to_value(state).unwrap()
         } else if key == keys::LEADER {
@@ -237,7 +237,7 @@
         assert_eq!(written, stored, "{key}");
     }
     assert_eq!(jobs, 5);
-    assert_eq!(value(&keys::fate(&job("job-g.1"))), "done");
-    assert_eq!(value(&keys::fate(&job("job-g_2"))), "aborted");
+    assert_eq!(value(&keys::final_state(&job("job-g.1"))), "done");
+    assert_eq!(value(&keys::final_state(&job("job-g_2"))), "aborted");
     assert_eq!(value(&keys::drain("n-000001")), true);
 }
--- a/crates/gladekeel-testkit/src/sim.rs
+++ b/crates/gladekeel-testkit/src/sim.rs
@@ -94,7 +94,7 @@
     pub start_twice: bool,
     /// Token and node of every leader seen.
     pub leaders: Vec<(u64, usize)>,
-    /// When each token's reign began, by its node's clock.
+    /// When each token's leadership began, by its node's clock.
     reigns: BTreeMap<u64, f64>,
     /// Users' requests that got no final answer within their time.
     pub given_up: u64,
--- a/crates/gladekeel-testkit/tests/two_versions.rs
+++ b/crates/gladekeel-testkit/tests/two_versions.rs
@@ -343,13 +343,13 @@
     let rounds = |rig: &Rig| rig.node.leader().expect("it leads on").counts().rounds;
     assert!(rounds(&rig) > 3);
     let id: JobId = "job-7".parse().unwrap();
-    rig.store(&keys::fate(&id), "unheard".into());
+    rig.store(&keys::final_state(&id), "unheard".into());
     assert_eq!(poll(&mut rig, "job-7"), 503);
     let before = rounds(&rig);
     rig.run(10);
     assert_eq!(rounds(&rig), before, "nothing is placed");
 
-    rig.store(&keys::fate(&id), "done".into());
+    rig.store(&keys::final_state(&id), "done".into());
     let (status, job) = rig.ask("/api/jobs/job-7/cancel", Vec::new());
     assert_eq!((status, job.state), (200, JobState::Done));
     rig.run(5);
