--- a/crates/gladekeel-controller/src/election.rs
+++ b/crates/gladekeel-controller/src/election.rs
@@ -61,7 +61,7 @@
                 None => return None,
             },
             // The key hangs on a lease that this incarnation does not know: it runs out.
-            (Seen::Me, None) | (Seen::Other, None) => return None,
+            (Seen::Me | Seen::Other, None) => return None,
             (Seen::Other, Some(lease)) => Call::Revoke(lease.id),
             (Seen::Nobody | Seen::Ghost(_), _) if now < self.stand_after => return None,
             (Seen::Nobody | Seen::Ghost(_), None) => Call::Grant { ttl_ms: TTL_MS },
--- a/crates/gladekeel-controller/src/leader/cloud_calls.rs
+++ b/crates/gladekeel-controller/src/leader/cloud_calls.rs
@@ -213,7 +213,7 @@
         match (call, outcome) {
             (CloudCall::Types, CloudOutcome::Types(types)) => self.on_types(now, types),
             (CloudCall::Rent(rent), CloudOutcome::Rented(names)) => {
-                self.on_rented(now, rent, names)
+                self.on_rented(now, rent, names);
             }
             (CloudCall::Rent(rent), CloudOutcome::NoCapacity | CloudOutcome::Bad) => {
                 if let Some(rental) = self.rental(rent) {
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -145,7 +145,7 @@
                     self.writes.push_back(UserWrite { request, id, spec: None, since, tries });
                 }
                 (Then::Cancel { .. }, Some(_)) if open => {
-                    self.later(now, request, "not cancelled yet")
+                    self.later(now, request, "not cancelled yet");
                 }
                 (_, Some(status)) => self.reply(now, request, Reply::json(200, &status)),
                 (Then::Create { spec, tries }, None) if tries < 3 && now - since < WAIT_S => {
