--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -24,7 +24,12 @@
         if self.jobs.values().all(|job| job.pending.is_empty()) {
             return;
         }
-        let mut input = self.round_input(now, false);
+        // A gang that has waited long gets room that full machines will have.
+        let overdue_gang = self.jobs.values().any(|job| {
+            let waited = job.waits_since.map_or(0.0, |since| now - since);
+            job.is_gang() && !job.over() && waited > PATIENCE_S
+        });
+        let mut input = self.round_input(now, overdue_gang);
         let mut gangs: BTreeMap<u32, u64> = BTreeMap::new();
         let pending: u32 = input.round.jobs.iter().map(|job| job.pending).sum();
         let placements = input.round.place(&options.hopper);
