--- /dev/null
+++ b/crates/gladekeel-controller/src/leader/exits.rs
@@ -0,0 +1,167 @@
+//! What the end of a task means for its job, its machine and its gang.
+
+use super::{Leader, StopReason, attempt::Outcome, machine::DeletionReason};
+use gladekeel_wire::job::Kind;
+use gladekeel_wire::worker::{Cause, TaskReport};
+
+/// A job whose service ended by itself waits this long before it starts again.
+const SERVICE_AGAIN_S: f64 = 1.0;
+/// A machine that refused a start gets nothing for this long.
+const AFTER_REFUSAL_S: f64 = 2.0;
+/// A machine on which a task failed gets nothing for this long.
+const AFTER_FAILURE_S: f64 = 5.0;
+/// A machine goes back after so many failures in a row.
+const MAX_MACHINE_FAILURES: u32 = 2;
+/// A job must have failed on so many machines before it is to blame rather than they.
+const FAULTY_JOB_MACHINES: usize = 2;
+/// The longest pause of a job that fails wherever it goes.
+const MAX_JOB_PAUSE_S: f64 = 60.0;
+/// The pause doubles with each failure, up to this many times.
+const MAX_PAUSE_DOUBLINGS: u32 = 6;
+/// Part of a new run time in what a class's estimates are corrected by.
+const RATIO_WEIGHT: f64 = 0.1;
+/// Bounds of the ratio of a run time to its estimate.
+const RATIO_RANGE: (f64, f64) = (0.1, 10.0);
+/// Shorter estimates count as this long.
+const MIN_ESTIMATE_S: f64 = 0.1;
+
+/// The attempt whose task has ended.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    job: u32,
+    machine: u32,
+    stop: Option<StopReason>,
+    /// How long it ran. Of a task that an earlier leader placed only the end was seen; its
+    /// run would look short, and others of its job slow.
+    ran_s: Option<f64>,
+}
+
+impl Leader {
+    /// Applies the end of a task that its machine has reported.
+    pub(super) fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let ended = Ended {
+            job: attempt.job,
+            machine: attempt.machine,
+            stop: attempt.stop,
+            ran_s: attempt.run_since.filter(|_| !attempt.restored).map(|since| now - since),
+        };
+        let known = self.jobs.contains_key(&ended.job)
+            && self.cluster.machines.contains_key(&ended.machine);
+        if !known {
+            return;
+        }
+        let outcome = self.outcome_of(now, ended, reported);
+        if outcome != Outcome::Done {
+            let machine = self.cluster.machine_names.name(ended.machine);
+            tracing::info!(
+                task = %reported.task,
+                machine,
+                cause = ?reported.cause,
+                why = ?ended.stop,
+                "ended before completion"
+            );
+        }
+        self.release(id, outcome);
+    }
+
+    /// What comes of an end, after its cause has been dealt with.
+    fn outcome_of(&mut self, now: f64, ended: Ended, reported: &TaskReport) -> Outcome {
+        match reported.cause {
+            Some(Cause::Done) => return self.on_done(now, ended),
+            Some(Cause::Stopped) if ended.stop == Some(StopReason::Slow) => {
+                self.cluster.counts.restarts += 1;
+                return Outcome::Restart;
+            }
+            Some(Cause::Stopped) => {}
+            Some(Cause::PeersGone) => self.stop_gang(ended.job, StopReason::Regroup),
+            Some(Cause::Alone) => self.stop_gang(ended.job, StopReason::Incomplete),
+            Some(Cause::Error) => self.on_error(now, ended),
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown | Cause::Other) | None => {
+                self.on_refusal(now, ended, reported);
+            }
+        }
+        Outcome::Again
+    }
+
+    fn on_done(&mut self, now: f64, ended: Ended) -> Outcome {
+        let Some(job) = self.jobs.get_mut(&ended.job) else { return Outcome::Again };
+        if job.spec.kind == Kind::Service {
+            // A service is done when it is cancelled, and not before.
+            job.hold_until = now + SERVICE_AGAIN_S;
+            return Outcome::Again;
+        }
+        job.failures = 0;
+        job.failed_on.clear();
+        if let Some(machine) = self.cluster.machines.get_mut(&ended.machine) {
+            machine.failures = 0;
+        }
+        if let Some(ran_s) = ended.ran_s {
+            job.record_run(ran_s);
+            let (least, most) = RATIO_RANGE;
+            let ratio = (ran_s / job.spec.estimate_s.max(MIN_ESTIMATE_S)).clamp(least, most);
+            let learned = self.cluster.ratios.entry(job.spec.class.clone()).or_insert(ratio);
+            *learned += (ratio - *learned) * RATIO_WEIGHT;
+        }
+        Outcome::Done
+    }
+
+    /// A task has failed: its job is to blame if that happens to it on every machine, else
+    /// the machine.
+    fn on_error(&mut self, now: f64, ended: Ended) {
+        self.cluster.counts.failures += 1;
+        let others = self.attempts.of_job(ended.job).unfinished();
+        let Some(job) = self.jobs.get_mut(&ended.job) else { return };
+        job.failures += 1;
+        job.failed_on.insert(ended.machine);
+        // A large job has tasks on faulty machines as well; what fails by itself fails more
+        // often than it runs.
+        let is_faulty = job.failed_on.len() >= FAULTY_JOB_MACHINES && job.failures > others;
+        let is_gang = job.is_gang();
+        if is_faulty {
+            self.pause_faulty_job(now, ended.job);
+        } else {
+            self.count_machine_failure(now, ended.machine);
+        }
+        if is_gang {
+            // It had started, so the others end as well.
+            self.stop_gang(ended.job, StopReason::Regroup);
+        }
+    }
+
+    /// Lets a job wait that fails wherever it goes, and clears the machines that it failed on.
+    fn pause_faulty_job(&mut self, now: f64, job: u32) {
+        let Some(job) = self.jobs.get_mut(&job) else { return };
+        let pause_s = f64::from(1 << job.failures.min(MAX_PAUSE_DOUBLINGS));
+        job.hold_until = now + pause_s.min(MAX_JOB_PAUSE_S);
+        for machine in &job.failed_on {
+            if let Some(machine) = self.cluster.machines.get_mut(machine) {
+                machine.failures = 0;
+            }
+        }
+        tracing::info!(job = %job.id, failures = job.failures, "a job fails on every machine");
+    }
+
+    /// Counts a failure against a machine, which goes back when it fails too often.
+    fn count_machine_failure(&mut self, now: f64, ix: u32) {
+        let Some(machine) = self.cluster.machines.get_mut(&ix) else { return };
+        machine.failures += 1;
+        machine.hold_until = now + AFTER_FAILURE_S;
+        if machine.failures >= MAX_MACHINE_FAILURES && machine.delete.is_none() {
+            tracing::info!(machine = machine.name, "a machine fails its tasks: returned");
+            machine.delete = Some(DeletionReason::FailsTasks);
+            self.cluster.leaving.insert(ix);
+        }
+    }
+
+    fn on_refusal(&mut self, now: f64, ended: Ended, reported: &TaskReport) {
+        let Some(machine) = self.cluster.machines.get_mut(&ended.machine) else { return };
+        machine.hold_until = now + AFTER_REFUSAL_S;
+        tracing::warn!(
+            machine = machine.name,
+            task = %reported.task,
+            cause = ?reported.cause,
+            "a start was refused"
+        );
+    }
+}
--- a/crates/gladekeel-controller/src/leader/machine.rs
+++ b/crates/gladekeel-controller/src/leader/machine.rs
@@ -1,7 +1,7 @@
 //! A machine: what the cloud, its worker and the log say of it.
 
 use gladekeel_sched::Room;
-use gladekeel_wire::cloud::MachineState;
+use gladekeel_wire::{cloud::MachineState, worker::Command};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Why a machine is to be deleted.
@@ -43,6 +43,22 @@
     pub forgets: Vec<u64>,
 }
 
+impl Awaited {
+    /// What an answer with these commands is to bring about. `settled` tells that the worker
+    /// has seen the token already.
+    pub fn after(commands: &[Command], settled: bool) -> Awaited {
+        let mut awaited = Awaited { token: !settled, ..Awaited::default() };
+        for command in commands {
+            match command {
+                Command::Start { attempt, .. } => awaited.starts.push(*attempt),
+                Command::Forget { attempt, .. } => awaited.forgets.push(*attempt),
+                Command::Stop { .. } => {}
+            }
+        }
+        awaited
+    }
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Machine {
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -12,6 +12,7 @@
 mod contact;
 mod direct;
 mod evacuation;
+mod exits;
 mod gangs;
 mod job;
 mod job_changes;
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,11 +1,8 @@
 //! Workers' reports and the commands that answer them.
 
-use super::{
-    Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited,
-    machine::DeletionReason,
-};
-use gladekeel_wire::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
-use gladekeel_wire::{TaskId, job::Kind};
+use super::{Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited};
+use gladekeel_wire::TaskId;
+use gladekeel_wire::worker::{Command, Report, ReportAnswer, TaskReport, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Commands in one answer; a line must stay below 64 KiB.
@@ -105,37 +102,23 @@
                 reported.remove(&id);
                 continue;
             }
-            let own = reported
-                .get(&id)
-                .filter(|t| {
-                    t.task.index == attempt.index && self.job_names.name(attempt.job) == &t.task.job
-                })
-                .copied();
+            let is_own = |task: &&TaskReport| {
+                task.task.index == attempt.index
+                    && self.job_names.name(attempt.job) == &task.task.job
+            };
+            let own = reported.get(&id).copied().filter(is_own);
             if own.is_some() {
                 reported.remove(&id);
             }
-            self.on_task(now, id, own, settled, may_start, &mut answer.commands);
+            let seen = TaskSeen { reported: own, settled, may_start };
+            self.on_task(now, id, seen, &mut answer.commands);
         }
         for (attempt, task) in reported {
             self.on_unassigned_task(ix, attempt, task, settled, &mut answer.commands);
         }
-        // What may not stay goes first: an answer holds so many commands and no more.
-        answer.commands.sort_by_key(|command| match command {
-            Command::Stop { grace_s, .. } => u8::from(*grace_s > 0.0),
-            Command::Forget { .. } => 2,
-            Command::Start { .. } => 3,
-        });
-        answer.commands.truncate(MAX_COMMANDS);
+        limit_commands(&mut answer.commands);
         if let Some(machine) = self.cluster.machines.get_mut(&ix) {
-            let mut awaited = Awaited { token: !settled, ..Awaited::default() };
-            for command in &answer.commands {
-                match command {
-                    Command::Start { attempt, .. } => awaited.starts.push(*attempt),
-                    Command::Forget { attempt, .. } => awaited.forgets.push(*attempt),
-                    Command::Stop { .. } => {}
-                }
-            }
-            machine.awaited = awaited;
+            machine.awaited = Awaited::after(&answer.commands, settled);
         }
         // Direct commands that were held back may go now, or it is asked whether it hears.
         self.direct.wanted.insert(ix);
@@ -165,54 +148,72 @@
         }
     }
 
-    fn on_task(
-        &mut self,
-        now: f64,
-        id: u64,
-        reported: Option<&TaskReport>,
-        settled: bool,
-        may_start: bool,
-        commands: &mut Vec<Command>,
-    ) {
+    /// Goes on with an attempt that counts as on a machine, by what the machine's report
+    /// shows of it.
+    fn on_task(&mut self, now: f64, id: u64, seen: TaskSeen<'_>, commands: &mut Vec<Command>) {
         let Some(attempt) = self.attempts.get(id) else { return };
         if attempt.phase != Phase::Live {
             return;
         }
         let task = TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index };
-        // Of a gang that is done, some tasks may not have reported their end.
-        let job = self.jobs.get(&attempt.job);
-        let over = job.is_none_or(Job::over);
-        // A gang whose commit takes several transactions is sent out once all are made.
-        let uncommitted =
-            job.is_some_and(Job::is_gang) && self.attempts.of_job(attempt.job).uncommitted() > 0;
-        let Some(reported) = reported else {
-            let starting = may_start
-                && !self.fence
-                && !over
-                && !uncommitted
-                && attempt.stop.is_none()
-                && self.cluster.machines.get(&attempt.machine).is_some_and(|m| !m.leaving());
-            if starting {
-                commands.push(Command::Start { task, attempt: self.reported_attempt(id) });
-            } else if settled
-                && !self
-                    .cluster
-                    .machines
-                    .get(&attempt.machine)
-                    .is_some_and(|m| m.may_still_start(id))
-                && (attempt.stop.is_some() || over || !may_start_ever(self, id))
-            {
-                // Not there, and no command that could still start it.
-                self.release(id, Outcome::Again);
+        if let Some(reported) = seen.reported {
+            let has_ended = self.on_reported(now, id, reported);
+            if !has_ended {
+                self.go_on_stopping(id, task, reported.state, commands);
             }
-            return;
-        };
-        if self.on_reported(now, id, reported) {
-            return;
+        } else if self.may_start_now(id, seen.may_start) {
+            commands.push(Command::Start { task, attempt: self.reported_attempt(id) });
+        } else if seen.settled && self.is_gone_for_good(id) {
+            self.release(id, Outcome::Again);
         }
+    }
+
+    /// Whether `run` of an attempt that is not on its machine may be sent now.
+    fn may_start_now(&self, id: u64, may_start: bool) -> bool {
+        let Some(attempt) = self.attempts.get(id) else { return false };
+        // A gang whose commit takes several transactions is sent out once all are made.
+        let uncommitted = self.jobs.get(&attempt.job).is_some_and(Job::is_gang)
+            && self.attempts.of_job(attempt.job).uncommitted() > 0;
+        may_start
+            && !self.fence
+            && !self.is_over(attempt.job)
+            && !uncommitted
+            && attempt.stop.is_none()
+            && self.machine_stays(attempt.machine)
+    }
+
+    /// Whether an attempt that a settled report lacks is to end, and no command can still
+    /// start it.
+    fn is_gone_for_good(&self, id: u64) -> bool {
+        let Some(attempt) = self.attempts.get(id) else { return false };
+        let machine = self.cluster.machines.get(&attempt.machine);
+        let to_end = attempt.stop.is_some()
+            || self.is_over(attempt.job)
+            || !self.machine_stays(attempt.machine);
+        to_end && !machine.is_some_and(|machine| machine.may_still_start(id))
+    }
+
+    /// Whether a job is over. Of a gang that is, some tasks may not have reported their end.
+    fn is_over(&self, job: u32) -> bool {
+        self.jobs.get(&job).is_none_or(Job::over)
+    }
+
+    /// Whether a machine is there and is not to go.
+    fn machine_stays(&self, machine: u32) -> bool {
+        self.cluster.machines.get(&machine).is_some_and(|machine| !machine.leaving())
+    }
+
+    /// Repeats `halt` for an attempt that is to stop, unless it is saving and may.
+    fn go_on_stopping(
+        &mut self,
+        id: u64,
+        task: TaskId,
+        state: TaskState,
+        commands: &mut Vec<Command>,
+    ) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let (Some(why), job) = (attempt.stop, attempt.job) else { return };
-        let waits = match reported.state {
+        let waits = match state {
             TaskState::Saving => why != StopReason::Cancelled,
             TaskState::Fetching => why == StopReason::Incomplete,
             _ => false,
@@ -287,105 +288,26 @@
             commands.push(Command::Forget { task: task_id, attempt: number });
         }
     }
+}
 
-    fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
-        let Some(attempt) = self.attempts.get(id) else { return };
-        let (job_ix, machine_ix, stop) = (attempt.job, attempt.machine, attempt.stop);
-        // Of a task that an earlier leader placed only the end was seen; its run
-        // would look short, and others of its job slow.
-        let ran = attempt.run_since.filter(|_| !attempt.restored).map(|since| now - since);
-        let (Some(job), Some(machine)) =
-            (self.jobs.get_mut(&job_ix), self.cluster.machines.get_mut(&machine_ix))
-        else {
-            return;
-        };
-        let outcome = match reported.cause {
-            // A service is done when it is cancelled, and not before.
-            Some(Cause::Done) if job.spec.kind == Kind::Service => {
-                job.hold_until = now + 1.0;
-                Outcome::Again
-            }
-            Some(Cause::PeersGone) => {
-                self.stop_gang(job_ix, StopReason::Regroup);
-                Outcome::Again
-            }
-            Some(Cause::Alone) => {
-                self.stop_gang(job_ix, StopReason::Incomplete);
-                Outcome::Again
-            }
-            Some(Cause::Done) => {
-                machine.failures = 0;
-                job.failures = 0;
-                job.failed_on.clear();
-                if let Some(ran) = ran {
-                    job.record_run(ran);
-                    let ratio = (ran / job.spec.estimate_s.max(0.1)).clamp(0.1, 10.0);
-                    let learned =
-                        self.cluster.ratios.entry(job.spec.class.clone()).or_insert(ratio);
-                    *learned += (ratio - *learned) * 0.1;
-                }
-                Outcome::Done
-            }
-            Some(Cause::Stopped) if stop == Some(StopReason::Slow) => {
-                self.cluster.counts.restarts += 1;
-                Outcome::Restart
-            }
-            Some(Cause::Error) => {
-                self.cluster.counts.failures += 1;
-                let gang = job.is_gang();
-                job.failures += 1;
-                job.failed_on.insert(machine_ix);
-                // A large job has tasks on faulty machines as well; what fails by itself
-                // fails more often than it runs.
-                let others = self.attempts.of_job(job_ix).unfinished();
-                let faulty_job = job.failed_on.len() >= 2 && job.failures > others;
-                if faulty_job {
-                    // It fails wherever it goes, so the machines are not to blame.
-                    job.hold_until = now + f64::from(1 << job.failures.min(6)).min(60.0);
-                    for other in &job.failed_on {
-                        if let Some(machine) = self.cluster.machines.get_mut(other) {
-                            machine.failures = 0;
-                        }
-                    }
-                    tracing::info!(job = %job.id, failures = job.failures, "a job fails on every machine");
-                } else {
-                    machine.failures += 1;
-                    machine.hold_until = now + 5.0;
-                    if machine.failures >= 2 && machine.delete.is_none() {
-                        tracing::info!(
-                            machine = machine.name,
-                            "a machine fails its tasks: returned"
-                        );
-                        machine.delete = Some(DeletionReason::FailsTasks);
-                        self.cluster.leaving.insert(machine_ix);
-                    }
-                }
-                if gang {
-                    // It had started, so the others end as well.
-                    self.stop_gang(job_ix, StopReason::Regroup);
-                }
-                Outcome::Again
-            }
-            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown | Cause::Other) | None => {
-                machine.hold_until = now + 2.0;
-                tracing::warn!(machine = machine.name, task = %reported.task, cause = ?reported.cause, "a start was refused");
-                Outcome::Again
-            }
-            Some(Cause::Stopped) => Outcome::Again,
-        };
-        if outcome != Outcome::Done {
-            let machine = self.cluster.machine_names.name(machine_ix);
-            tracing::info!(task = %reported.task, machine, cause = ?reported.cause, why = ?stop, "ended before completion");
-        }
-        self.release(id, outcome);
-    }
+/// What a report shows of an attempt.
+#[derive(Debug, Clone, Copy)]
+struct TaskSeen<'a> {
+    /// The task, if it is on the machine.
+    reported: Option<&'a TaskReport>,
+    /// The report was made under this leader's token, after every earlier answer.
+    settled: bool,
+    /// New tasks may be started.
+    may_start: bool,
 }
 
-/// Whether an attempt that is not on its machine may be started there later.
-fn may_start_ever(leader: &Leader, id: u64) -> bool {
-    leader
-        .attempts
-        .get(id)
-        .and_then(|a| leader.cluster.machines.get(&a.machine))
-        .is_some_and(|m| !m.leaving())
+/// Orders an answer's commands, those that end something first, and cuts them to what an
+/// answer holds.
+fn limit_commands(commands: &mut Vec<Command>) {
+    commands.sort_by_key(|command| match command {
+        Command::Stop { grace_s, .. } => u8::from(*grace_s > 0.0),
+        Command::Forget { .. } => 2,
+        Command::Start { .. } => 3,
+    });
+    commands.truncate(MAX_COMMANDS);
 }
--- /dev/null
+++ b/crates/gladekeel-testkit/src/scenario/steps/services.rs
@@ -0,0 +1,81 @@
+//! What happens to the state service and to the cloud.
+
+use super::{Step, line::Line};
+use crate::{scenario::targets::which, state::Limits};
+
+/// `state down|slow FACTOR|mute|refuses WHO|spoils|forgets|limits KEY=N for S`.
+pub(super) fn state(line: &Line) -> Result<Step, String> {
+    let for_s = line.for_s;
+    Ok(match line.at(1)? {
+        "down" => Box::new(move |sim| {
+            let now = sim.now;
+            sim.state.set_down(now, true);
+            sim.trouble(for_s);
+            sim.after(for_s, |sim| {
+                let now = sim.now;
+                sim.state.set_down(now, false);
+            });
+        }),
+        "slow" => {
+            let factor = line.number_at(2)?;
+            Box::new(move |sim| {
+                sim.state_slow = factor;
+                sim.trouble(for_s);
+                sim.after(for_s, |sim| sim.state_slow = 1.0);
+            })
+        }
+        "mute" => Box::new(move |sim| {
+            sim.state_mute = true;
+            sim.trouble(for_s);
+            sim.after(for_s, |sim| sim.state_mute = false);
+        }),
+        "refuses" => {
+            let who = line.at(2)?.to_owned();
+            Box::new(move |sim| {
+                sim.state.refused = which(sim, &who);
+                sim.trouble(for_s);
+                sim.after(for_s, |sim| sim.state.refused.clear());
+            })
+        }
+        "spoils" => Box::new(move |sim| {
+            sim.state.spoil_log(true);
+            sim.trouble(for_s);
+            sim.after(for_s, |sim| sim.state.spoil_log(false));
+        }),
+        "forgets" => Box::new(|sim| sim.state.forget_history()),
+        "limits" => return limits(line),
+        other => return Err(format!("the state service cannot {other}")),
+    })
+}
+
+/// `state limits value_kb=N txn_ops=N write_rps=N rps=N`; what is not named stays.
+fn limits(line: &Line) -> Result<Step, String> {
+    let (value, ops) = (line.given("value_kb")?, line.given("txn_ops")?);
+    let (writes, rps) = (line.given("write_rps")?, line.given("rps")?);
+    Ok(Box::new(move |sim| {
+        let now = sim.state.limits();
+        sim.state.lower(Limits {
+            rps: rps.unwrap_or(now.rps),
+            write_rps: writes.unwrap_or(now.write_rps),
+            txn_ops: ops.map_or(now.txn_ops, |n| n as usize),
+            value: value.map_or(now.value, |kb| (kb * 1024.0) as usize),
+        });
+    }))
+}
+
+/// `cloud down|duds COUNT|empty for S`.
+pub(super) fn cloud(line: &Line) -> Result<Step, String> {
+    let for_s = line.for_s;
+    Ok(match line.at(1)? {
+        "down" => Box::new(move |sim| {
+            sim.cloud.down = true;
+            sim.after(for_s, |sim| sim.cloud.down = false);
+        }),
+        "duds" => {
+            let count = line.number_at(2)? as u32;
+            Box::new(move |sim| sim.cloud.duds = count)
+        }
+        "empty" => Box::new(|sim| sim.cloud.capacity.values_mut().for_each(|n| *n = 0)),
+        other => return Err(format!("the cloud cannot {other}")),
+    })
+}
--- /dev/null
+++ b/crates/gladekeel-testkit/src/scenario/steps/users.rs
@@ -0,0 +1,137 @@
+//! What users do.
+
+use super::{Step, line::Line};
+use crate::{
+    scenario::{
+        targets::which,
+        words::{names, number},
+        world::job,
+    },
+    sim::Sim,
+};
+use gladekeel_wire::job::JobSpec;
+
+/// `submit JOBS tasks=N ...`; with `every=S` one after the other, a part of them `cancelled`.
+pub(super) fn submit(line: &Line) -> Result<Step, String> {
+    let specs: Vec<JobSpec> =
+        names(line.at(1)?).iter().map(|name| job(name, &line.words)).collect::<Result<_, _>>()?;
+    let apart_s = line.given_or_zero("apart")?;
+    let every_s = line.given_or_zero("every")?;
+    let cancelled = line.given_or_zero("cancelled")?;
+    Ok(Box::new(move |sim| {
+        for (place, spec) in specs.into_iter().enumerate() {
+            sim.rules.apart_s.insert(spec.id.clone(), apart_s);
+            if every_s > 0.0 {
+                sim.submit_in_stream(spec, place as f64 * every_s, cancelled);
+            } else {
+                sim.submit(spec);
+            }
+        }
+    }))
+}
+
+/// `again JOBS`: the same submissions once more.
+pub(super) fn submit_again(line: &Line) -> Result<Step, String> {
+    let ids = line.jobs(1)?;
+    Ok(Box::new(move |sim| ids.into_iter().for_each(|id| sim.submit_again(id))))
+}
+
+/// `poll JOBS times=N`.
+pub(super) fn poll(line: &Line) -> Result<Step, String> {
+    let ids = line.jobs(1)?;
+    let times = line.given("times")?.unwrap_or(1.0) as u32;
+    Ok(Box::new(move |sim| {
+        for id in ids {
+            (0..times).for_each(|_| sim.poll_once(id.clone()));
+        }
+    }))
+}
+
+/// The nodes that `through=WHO` names; none if it is not said.
+fn through(line: &Line) -> impl FnOnce(&Sim) -> Vec<usize> + 'static {
+    let who = line.words.get("through").map(|who| (*who).to_owned());
+    move |sim| who.map_or_else(Vec::new, |who| which(sim, &who))
+}
+
+/// `cancel JOBS through=WHO`.
+pub(super) fn cancel(line: &Line) -> Result<Step, String> {
+    let ids = line.jobs(1)?;
+    let through = through(line);
+    Ok(Box::new(move |sim| {
+        let nodes = through(sim);
+        ids.into_iter().for_each(|id| sim.cancel_through(id, nodes.clone()));
+    }))
+}
+
+/// `cancel_now COUNT hang=S through=WHO`: the longest running jobs, all at once.
+pub(super) fn cancel_now(line: &Line) -> Result<Step, String> {
+    let count = line.number_at(1)? as usize;
+    let hang_s = line.given_or_zero("hang")?;
+    let through = through(line);
+    Ok(Box::new(move |sim| {
+        let nodes = through(sim);
+        sim.cancel_now(count, nodes, hang_s);
+    }))
+}
+
+/// `cancel_at_end SHARE for S`: that share of the jobs that end, at that moment.
+pub(super) fn cancel_at_end(line: &Line) -> Result<Step, String> {
+    let (share, for_s) = (line.number_at(1)?, line.for_s);
+    Ok(Box::new(move |sim| {
+        sim.cancel_at_end = share;
+        sim.after(for_s, |sim| sim.cancel_at_end = 0.0);
+    }))
+}
+
+/// `close_looks for S`: users ask at all nodes at once when a job is accepted, over or
+/// cancelled.
+pub(super) fn close_looks(line: &Line) -> Step {
+    let for_s = line.for_s;
+    Box::new(move |sim| sim.close_looks.until = sim.now + for_s)
+}
+
+/// `odd for S`: repeats, cancellations of jobs that are done, jobs that cannot run.
+pub(super) fn odd_requests(line: &Line) -> Step {
+    let for_s = line.for_s;
+    Box::new(move |sim| {
+        let until = sim.now + for_s;
+        sim.send_odd_requests(until);
+    })
+}
+
+/// `http METHOD PATH BODY = STATUS`: a request to the leader and the status that it must get.
+pub(super) fn http(line: &Line) -> Result<Step, String> {
+    let (request, status) = line.text.rsplit_once(" = ").ok_or("http METHOD PATH BODY = STATUS")?;
+    let mut parts = request.splitn(4, ' ').skip(1);
+    let method = match parts.next() {
+        Some("GET") => "GET",
+        Some("PUT") => "PUT",
+        Some("POST") => "POST",
+        other => return Err(format!("no method {other:?}")),
+    };
+    let path = parts.next().ok_or("a path is missing")?.to_owned();
+    let body = parts.next().unwrap_or("").to_owned();
+    let status = number(status)? as u16;
+    Ok(Box::new(move |sim| {
+        let node = sim.leading().unwrap_or(0);
+        sim.expect_http(node, method, path, body.into_bytes(), status);
+    }))
+}
+
+/// `ask NODE METHOD PATH = STATUS`: the same of a certain node.
+pub(super) fn ask(line: &Line) -> Result<Step, String> {
+    let (node, path) = (line.at(1)?.to_owned(), line.at(3)?.to_owned());
+    let method = if line.at(2)? == "POST" { "POST" } else { "GET" };
+    let last = line.plain.len().saturating_sub(1);
+    let status = line.number_at(last)? as u16;
+    Ok(Box::new(move |sim| {
+        for node in which(sim, &node) {
+            sim.expect_http(node, method, path.clone(), Vec::new(), status);
+        }
+    }))
+}
+
+/// `junk`: bytes that are not HTTP, to every node.
+pub(super) fn junk() -> Step {
+    Box::new(move |sim| (0..sim.nodes()).for_each(|node| sim.send_junk(node)))
+}
