Leader: sizing, replay, rounds and direct commands in short functions; users' batches a type

Rentals are spread by division instead of one by one. A count of tries and the size of a batch are named constants.

--- a/crates/gladekeel-controller/src/leader/attempt.rs
+++ b/crates/gladekeel-controller/src/leader/attempt.rs
@@ -67,3 +67,10 @@
     /// The newest segment of the log that assigns it.
     pub logged: u64,
 }
+
+impl Attempt {
+    /// Whether it counts as on its machine, in this session of it.
+    pub fn is_live_in(&self, session: u64) -> bool {
+        self.phase == Phase::Live && self.session == session
+    }
+}
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -4,7 +4,7 @@
 //! while token and session match. Until that is settled its attempt is neither
 //! released for being absent nor forgotten; a new token settles it for good.
 
-use super::{Leader, Machine, Phase, StopReason, machine::DeletionReason};
+use super::{Attempt, Leader, Machine, StopReason, machine::DeletionReason};
 use gladekeel_wire::{
     TaskId,
     worker::{Command, Direct, Report, TaskState},
@@ -121,49 +121,28 @@
         None
     }
 
+    /// The commands that a machine should hear now, if there are any.
     fn direct_for(&mut self, now: f64, ix: u32, may_start: bool) -> Option<DirectCall> {
         let heard_s = self.params.workers.late_s();
-        let machine = self.cluster.machines.get_mut(&ix)?;
+        let machine = self.cluster.machines.get(&ix)?;
         if machine.direct_in_flight || machine.gone || now - machine.quiet_since > heard_s {
             return None;
         }
         let addr = machine.addr.clone()?;
+        let session = machine.newest.0;
         let may_start =
             may_start && !self.fence && !machine.leaving() && machine.unheard_answers == 0;
-        let (mut commands, mut starts) = (Vec::new(), Vec::new());
-        for id in &machine.attempts {
-            let Some(attempt) = self.attempts.get(*id) else { continue };
-            if attempt.phase != Phase::Live || attempt.session != machine.newest.0 {
-                continue;
-            }
-            let task =
-                TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index };
-            let job = &self.jobs[&attempt.job];
-            let number = if job.is_gang() { id - u64::from(attempt.index) } else { *id };
-            if let Some(why) = attempt.stop {
-                let there = match attempt.seen {
-                    Some(TaskState::Fetching) => why != StopReason::Incomplete,
-                    Some(TaskState::Waiting | TaskState::Running) => true,
-                    Some(TaskState::Saving) => why == StopReason::Cancelled,
-                    _ => false,
-                };
-                if there && attempt.stop_sent == 0 {
-                    self.attempts.update(*id, |attempt| attempt.stop_sent = 1);
-                    let grace_s = job.grace(why);
-                    commands.push(Command::Stop { task, attempt: number, grace_s });
-                }
-            } else if attempt.seen.is_none()
-                && may_start
-                && !attempt.sent
-                && !job.over()
-                && !(job.is_gang() && self.attempts.of_job(attempt.job).uncommitted() > 0)
-            {
-                self.attempts.update(*id, |attempt| attempt.sent = true);
-                machine.open_starts.insert(*id, None);
-                starts.push(*id);
-                commands.push(Command::Start { task, attempt: number });
+        let mut commands = Vec::new();
+        let mut starts = Vec::new();
+        for id in machine.attempts.clone() {
+            if let Some(stop) = self.direct_stop(id, session) {
+                commands.push(stop);
+            } else if may_start && let Some(start) = self.direct_start(id, session) {
+                commands.push(start);
+                starts.push(id);
             }
         }
+        let machine = self.cluster.machines.get_mut(&ix)?;
         if commands.is_empty() {
             if machine.unheard_answers > 0 && machine.delete.is_none() {
                 // It is asked whether it hears at all.
@@ -171,13 +150,54 @@
             }
             return None;
         }
-        commands.sort_by_key(|command| matches!(command, Command::Start { .. }));
+        machine.open_starts.extend(starts.iter().map(|id| (*id, None)));
         machine.direct_in_flight = true;
+        commands.sort_by_key(|command| matches!(command, Command::Start { .. }));
         let token = self.token;
-        let body = Some(Direct { token, session: machine.newest.0, commands });
+        let body = Some(Direct { token, session, commands });
         Some(DirectCall { addr, body, token, machine: ix, starts })
     }
 
+    /// `halt` for an attempt that is to stop and has not been told.
+    fn direct_stop(&mut self, id: u64, session: u64) -> Option<Command> {
+        let attempt = self.attempts.get(id).filter(|attempt| attempt.is_live_in(session))?;
+        let why = attempt.stop?;
+        let is_there = match attempt.seen? {
+            TaskState::Fetching => why != StopReason::Incomplete,
+            TaskState::Waiting | TaskState::Running => true,
+            TaskState::Saving => why == StopReason::Cancelled,
+            TaskState::Exited | TaskState::Other => false,
+        };
+        if !is_there || attempt.stop_sent > 0 {
+            return None;
+        }
+        let task = self.task_of(attempt);
+        let grace_s = self.jobs[&attempt.job].grace(why);
+        self.attempts.update(id, |attempt| attempt.stop_sent = 1);
+        Some(Command::Stop { task, attempt: self.reported_attempt(id), grace_s })
+    }
+
+    /// `run` for an attempt that is committed, a gang's with all of its others, and has not
+    /// been sent.
+    fn direct_start(&mut self, id: u64, session: u64) -> Option<Command> {
+        let attempt = self.attempts.get(id).filter(|attempt| attempt.is_live_in(session))?;
+        if attempt.stop.is_some() || attempt.seen.is_some() || attempt.sent {
+            return None;
+        }
+        let job = &self.jobs[&attempt.job];
+        let is_part = job.is_gang() && self.attempts.of_job(attempt.job).uncommitted() > 0;
+        if job.over() || is_part {
+            return None;
+        }
+        let task = self.task_of(attempt);
+        self.attempts.update(id, |attempt| attempt.sent = true);
+        Some(Command::Start { task, attempt: self.reported_attempt(id) })
+    }
+
+    fn task_of(&self, attempt: &Attempt) -> TaskId {
+        TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.index }
+    }
+
     /// Applies the outcome of a direct command.
     pub fn direct_answered(&mut self, now: f64, call: &DirectCall, outcome: &DirectOutcome) {
         if call.token != self.token {
--- a/crates/gladekeel-controller/src/leader/replay.rs
+++ b/crates/gladekeel-controller/src/leader/replay.rs
@@ -1,66 +1,92 @@
 //! Rebuilding what is on which machine from the log, when a node begins to lead.
 
-use super::{Attempt, Leader, Machine, Phase, StopReason, attempt::Outcome};
-use crate::log;
+use super::{Attempt, Job, Leader, Machine, Phase, StopReason, attempt::Outcome};
+use crate::{keys::CHUNK, log};
+use gladekeel_wire::JobId;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+/// Attempts that the log assigns and does not release, with the segment that assigns them.
+type LiveAttempts = BTreeMap<u64, (log::Assigned, u64)>;
+
 impl Leader {
     /// Replays the log, oldest segment first.
     pub(super) fn replay(&mut self, segments: Vec<(u32, u64, log::Segment)>, now: f64) {
-        let mut live: BTreeMap<u64, (log::Assigned, u64)> = BTreeMap::new();
+        let mut live = LiveAttempts::new();
         for (slot, version, segment) in segments {
-            let (mut attempts, mut chunks) = (Vec::new(), Vec::new());
+            self.replay_segment(slot, version, segment, &mut live);
+        }
+        let assigned = self.restore_attempts(now, live);
+        self.settle_jobs(&assigned);
+        self.reclaim();
+    }
+
+    fn replay_segment(
+        &mut self,
+        slot: u32,
+        version: u64,
+        segment: log::Segment,
+        live: &mut LiveAttempts,
+    ) {
+        let (mut attempts, mut chunks) = (Vec::new(), Vec::new());
+        for progress in segment.progress {
             // Jobs that are not in the store any more are over, with all of their tasks.
-            for progress in segment.progress {
-                let Some(ix) = self.job_names.get(&progress.job) else { continue };
-                let Some(job) = self.jobs.get_mut(&ix) else { continue };
-                job.done.add_chunk(progress.chunk, &progress.done, job.spec.tasks);
-                job.restarted.add_chunk(progress.chunk, &progress.restarted, job.spec.tasks);
-                job.progress_segment.insert(progress.chunk, segment.seq);
-                chunks.push((ix, progress.chunk));
-            }
-            for assigned in segment.assigned {
-                attempts.push(assigned.attempt);
-                live.insert(assigned.attempt, (assigned, segment.seq));
-            }
-            for released in segment.released {
-                live.remove(&released.attempt);
-                let Some(ix) = self.job_names.get(&released.job) else { continue };
-                let Some(job) = self.jobs.get_mut(&ix) else { continue };
-                let bits = match released.end {
-                    Outcome::Done => &mut job.done,
-                    Outcome::Restart => &mut job.restarted,
-                    Outcome::Again => continue,
-                };
-                if released.index < job.spec.tasks {
-                    bits.add(released.index);
-                    chunks.push((ix, released.index / crate::keys::CHUNK));
-                }
+            let Some((ix, job)) = self.job_named(&progress.job) else { continue };
+            job.done.add_chunk(progress.chunk, &progress.done, job.spec.tasks);
+            job.restarted.add_chunk(progress.chunk, &progress.restarted, job.spec.tasks);
+            job.progress_segment.insert(progress.chunk, segment.seq);
+            chunks.push((ix, progress.chunk));
+        }
+        for assigned in segment.assigned {
+            attempts.push(assigned.attempt);
+            live.insert(assigned.attempt, (assigned, segment.seq));
+        }
+        for released in segment.released {
+            live.remove(&released.attempt);
+            let Some((ix, job)) = self.job_named(&released.job) else { continue };
+            let bits = match released.end {
+                Outcome::Done => &mut job.done,
+                Outcome::Restart => &mut job.restarted,
+                Outcome::Again => continue,
+            };
+            if released.index < job.spec.tasks {
+                bits.add(released.index);
+                chunks.push((ix, released.index / CHUNK));
             }
-            self.commits.add_segment(slot, version, segment.seq, attempts, chunks);
         }
+        self.commits.add_segment(slot, version, segment.seq, attempts, chunks);
+    }
+
+    fn job_named(&mut self, id: &JobId) -> Option<(u32, &mut Job)> {
+        let ix = self.job_names.get(id)?;
+        Some((ix, self.jobs.get_mut(&ix)?))
+    }
+
+    /// Puts the attempts back on their machines. Returns the tasks that have one, by job.
+    fn restore_attempts(&mut self, now: f64, live: LiveAttempts) -> HashMap<u32, HashSet<u32>> {
         let mut assigned: HashMap<u32, HashSet<u32>> = HashMap::new();
-        for (id, (row, seq)) in live {
-            let Some(ix) = self.job_names.get(&row.job).filter(|ix| self.jobs.contains_key(ix))
-            else {
+        for (id, (row, segment)) in live {
+            let Some((ix, _)) = self.job_named(&row.job) else {
                 // Jobs are cleared only after their last attempt was released.
-                tracing::error!(job = %row.job, machine = row.machine, "attempt of a job that is not in the store");
+                tracing::error!(
+                    job = %row.job,
+                    machine = row.machine,
+                    "attempt of a job that is not in the store"
+                );
                 continue;
             };
             assigned.entry(ix).or_default().insert(row.index);
-            self.restore(now, ix, id, row, seq);
+            self.restore(now, ix, id, row, segment);
         }
+        assigned
+    }
+
+    /// Works out for each job what is left to do, and ends what must not go on.
+    fn settle_jobs(&mut self, assigned: &HashMap<u32, HashSet<u32>>) {
         let mut ended = Vec::new();
         let mut broken = Vec::new();
         for (ix, job) in &mut self.jobs {
-            if job.is_gang() && job.done.count() > 0 {
-                // One of a gang's tasks tells of all: they complete together.
-                (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
-            }
-            let there = assigned.get(ix);
             let none_on_machines = self.attempts.of_job(*ix).is_empty();
-            job.pending
-                .retain(|at| !job.done.has(*at) && !there.is_some_and(|set| set.contains(at)));
+            settle_tasks(job, assigned.get(ix));
             if job.done.count() == job.spec.tasks && job.final_state.is_none() {
                 self.commits.finished.insert(*ix);
             }
@@ -90,7 +116,6 @@
         for ix in broken {
             self.stop_gang(ix, StopReason::Regroup);
         }
-        self.reclaim();
     }
 
     fn restore(&mut self, now: f64, job_ix: u32, id: u64, row: log::Assigned, seq: u64) {
@@ -128,3 +153,14 @@
         );
     }
 }
+
+/// Takes the tasks that are done or have an attempt off those that wait.
+fn settle_tasks(job: &mut Job, assigned: Option<&HashSet<u32>>) {
+    if job.is_gang() && job.done.count() > 0 {
+        // One of a gang's tasks tells of all: they complete together.
+        (0..job.spec.tasks).for_each(|index| _ = job.done.add(index));
+    }
+    let Job { pending, done, .. } = job;
+    let is_assigned = |index: &u32| assigned.is_some_and(|tasks| tasks.contains(index));
+    pending.retain(|index| !done.has(*index) && !is_assigned(index));
+}
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,6 +1,6 @@
 //! A round of placements.
 
-use super::{Attempt, Leader, Phase};
+use super::{Attempt, Job, Leader, Phase};
 use crate::options::Options;
 use gladekeel_sched::place;
 use gladekeel_wire::job::Kind;
@@ -70,16 +70,19 @@
             jobs: Vec::new(),
             machines: Vec::new(),
         };
+        self.add_machines(&mut input, now, full);
+        for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
+            input.jobs.push(*ix);
+            input.round.jobs.push(self.round_job(*ix, job, now));
+        }
+        input
+    }
+
+    fn add_machines(&self, input: &mut RoundInput, now: f64, full: bool) {
         let late_s = self.params.workers.late_s();
         let quiet: BTreeSet<u32> = self.contact.quiet_zones(now).collect();
         // What is kept for gangs is given up before anybody has waited too long for it.
-        let starved = self.jobs.iter().any(|(ix, job)| {
-            let waits = !job.over()
-                && !job.is_gang()
-                && self.attempts.of_job(*ix).is_empty()
-                && now >= job.hold_until;
-            waits && job.waits_since.is_some_and(|since| now - since > STARVED_S)
-        });
+        let keeps_standby = !self.is_any_array_starved(now);
         for (ix, machine) in &self.cluster.machines {
             let (Some(kind), Some(zone)) = (machine.kind, machine.zone) else { continue };
             let Some(whole) = self.catalog.room(kind) else { continue };
@@ -111,43 +114,53 @@
                     .images_not_run(*ix)
                     .any(|image| !machine.ready.contains(&image)),
                 open,
-                standby: machine.standby && !starved,
+                standby: machine.standby && keeps_standby,
             });
         }
-        for (ix, job) in self.jobs.iter().filter(|(_, job)| !job.over()) {
-            // After a takeover the zone of a machine may not be known yet; jobs whose
-            // tasks must be in certain zones relative to one another wait for it.
-            let zones_matter = job.spec.one_zone || job.spec.spread;
-            let held = now < job.hold_until || (zones_matter && job.zone_unknown > 0);
-            let array = job.spec.kind == Kind::Array;
-            // A gang that waits has nothing on any machine; of an array that is so as
-            // long as its share rounds down to nothing or room comes in small pieces.
-            let nowhere = self.attempts.of_job(*ix).is_empty();
-            let idle = (!array || nowhere) && job.spec.kind != Kind::Service;
-            let waited = job.waits_since.filter(|_| idle).map_or(0.0, |since| now - since);
-            input.jobs.push(*ix);
-            input.round.jobs.push(place::Job {
-                team: job.team,
-                priority: job.spec.priority as u8,
-                task: job.room,
-                remaining: job.remaining(),
-                pending: if held { 0 } else { job.pending.len() as u32 },
-                restarts: if held { 0 } else { job.restarts },
-                image: job.image,
-                kinds: job.kinds.clone(),
-                zone: job.zone,
-                one_zone: job.spec.one_zone,
-                zone_cap: if job.spec.spread { job.spec.tasks.div_ceil(2) } else { u32::MAX },
-                spot: job.spec.spot,
-                by_zone: job.by_zone.clone(),
-                gang: job.is_gang(),
-                completes: !nowhere && self.still_waits(*ix),
-                // A gang looks for the image before all else, in any case.
-                hurried: !job.is_gang() && job.hurried(&self.params, self.fetch_s(job), now),
-                overdue: (waited - PATIENCE_S).max(0.0).ceil() as u32,
-            });
+    }
+
+    /// Whether an array has waited too long with nothing on any machine.
+    fn is_any_array_starved(&self, now: f64) -> bool {
+        self.jobs.iter().any(|(ix, job)| {
+            let waits = !job.over()
+                && !job.is_gang()
+                && self.attempts.of_job(*ix).is_empty()
+                && now >= job.hold_until;
+            waits && job.waits_since.is_some_and(|since| now - since > STARVED_S)
+        })
+    }
+
+    fn round_job(&self, ix: u32, job: &Job, now: f64) -> place::Job {
+        // After a takeover the zone of a machine may not be known yet; jobs whose
+        // tasks must be in certain zones relative to one another wait for it.
+        let zones_matter = job.spec.one_zone || job.spec.spread;
+        let held = now < job.hold_until || (zones_matter && job.zone_unknown > 0);
+        let array = job.spec.kind == Kind::Array;
+        // A gang that waits has nothing on any machine; of an array that is so as
+        // long as its share rounds down to nothing or room comes in small pieces.
+        let nowhere = self.attempts.of_job(ix).is_empty();
+        let idle = (!array || nowhere) && job.spec.kind != Kind::Service;
+        let waited = job.waits_since.filter(|_| idle).map_or(0.0, |since| now - since);
+        place::Job {
+            team: job.team,
+            priority: job.spec.priority as u8,
+            task: job.room,
+            remaining: job.remaining(),
+            pending: if held { 0 } else { job.pending.len() as u32 },
+            restarts: if held { 0 } else { job.restarts },
+            image: job.image,
+            kinds: job.kinds.clone(),
+            zone: job.zone,
+            one_zone: job.spec.one_zone,
+            zone_cap: if job.spec.spread { job.spec.tasks.div_ceil(2) } else { u32::MAX },
+            spot: job.spec.spot,
+            by_zone: job.by_zone.clone(),
+            gang: job.is_gang(),
+            completes: !nowhere && self.still_waits(ix),
+            // A gang looks for the image before all else, in any case.
+            hurried: !job.is_gang() && job.hurried(&self.params, self.fetch_s(job), now),
+            overdue: (waited - PATIENCE_S).max(0.0).ceil() as u32,
         }
-        input
     }
 
     /// Decides that a job's next task goes to a machine; `gang` is the number that
--- a/crates/gladekeel-controller/src/leader/sizing.rs
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -4,7 +4,7 @@
 use crate::options::Options;
 use gladekeel_sched::{
     Room,
-    fleet::{Flow, Need, Sizer, Supply},
+    fleet::{Flow, Need, Plan, Sizer, Supply},
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -28,6 +28,41 @@
         self.arrived_at = now;
         self.arrived.values_mut().for_each(|flow| flow.machines *= weight);
     }
+
+    /// Work of each class that goes on coming, for a type.
+    fn flows(&self, kind: u32) -> Vec<Flow> {
+        let of_kind = self.arrived.iter().filter(|((of, _), _)| *of == kind);
+        of_kind.map(|(_, flow)| Flow { machines: flow.machines / ARRIVALS_S, ..*flow }).collect()
+    }
+}
+
+/// The plans for the machines of one type.
+#[derive(Debug, Default)]
+struct KindPlans {
+    /// For all work, on machines of any kind.
+    any: Plan,
+    /// For work that may not use spot machines, on ordinary ones.
+    ordinary: Plan,
+}
+
+/// How many idle machines may go back.
+struct Spare {
+    ordinary: usize,
+    spot: usize,
+}
+
+impl KindPlans {
+    /// Ordinary machines may go as soon as they are not needed; cheap ones stay for what
+    /// usually comes.
+    fn spare(&self, any: &Supply, ordinary: &Supply) -> Spare {
+        let over = |supply: &Supply, bound: f64| {
+            let have = supply.up + supply.booting.len() as f64;
+            (have - bound.round()).max(0.0) as usize
+        };
+        let spare_ordinary = over(ordinary, self.ordinary.need).min(over(any, self.any.need));
+        let spare_spot = over(any, self.any.keep).saturating_sub(spare_ordinary);
+        Spare { ordinary: spare_ordinary, spot: spare_spot }
+    }
 }
 
 impl Leader {
@@ -166,89 +201,103 @@
     fn size_kind(&mut self, now: f64, options: &Options, kind: u32, needs: &[(bool, Need)]) {
         let Some(machine_type) = self.catalog.machine_type(kind) else { return };
         let boot_s = machine_type.boot_s;
-        let zones: Vec<u32> = machine_type
-            .zones
-            .iter()
-            .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
-            .collect();
-        let may_spot = machine_type.spot_price.is_some();
-        let (supply, supply_ordinary) = self.supply(now, kind, boot_s, options.silent_s);
+        let (any, ordinary) = self.supply(now, kind, boot_s, options.silent_s);
+        let plans = self.plan_kind(now, options, kind, needs, [&any, &ordinary]);
+        tracing::debug!(
+            kind,
+            up = any.up,
+            booting = any.booting.len(),
+            rent = plans.any.rent,
+            need = plans.any.need,
+            keep = plans.any.keep,
+            pending = needs.iter().map(|(_, need)| need.pending).sum::<f64>(),
+            running = needs.iter().map(|(_, need)| need.running).sum::<f64>(),
+            "fleet"
+        );
+        self.want_rentals(now, kind, &plans);
+        let spare = plans.spare(&any, &ordinary);
+        self.return_idle(now, options, kind, false, spare.ordinary);
+        self.return_idle(now, options, kind, true, spare.spot);
+    }
+
+    /// Plans the machines of a type, for all work and for what may not use spot machines,
+    /// with the supplies of each.
+    fn plan_kind(
+        &mut self,
+        now: f64,
+        options: &Options,
+        kind: u32,
+        needs: &[(bool, Need)],
+        [any, ordinary]: [&Supply; 2],
+    ) -> KindPlans {
+        let Some(machine_type) = self.catalog.machine_type(kind) else {
+            return KindPlans::default();
+        };
+        let boot_s = machine_type.boot_s;
         let all: Vec<Need> = needs.iter().map(|(_, need)| *need).collect();
         let no_spot: Vec<Need> =
             needs.iter().filter(|(spot, _)| !spot).map(|(_, need)| *need).collect();
         let demand = &mut self.cluster.demand;
-        let flows: Vec<Flow> = demand
-            .arrived
+        let flows = demand.flows(kind);
+        let sizing = &options.sizing;
+        let sizer = demand.sizers.entry((kind, false)).or_default();
+        let any = sizer.plan(now, &all, any, &flows, boot_s, sizing);
+        let sizer = demand.sizers.entry((kind, true)).or_default();
+        let ordinary = sizer.plan(now, &no_spot, ordinary, &[], boot_s, sizing);
+        let mut plans = KindPlans { any, ordinary };
+        let standby = f64::from(self.cluster.standby.wanted(kind));
+        plans.ordinary.need = plans.ordinary.need.max(standby);
+        plans
+    }
+
+    /// Asks for the machines of a type that are to be rented: spot ones first; what they
+    /// cannot give, ordinary ones do in the next round.
+    fn want_rentals(&mut self, now: f64, kind: u32, plans: &KindPlans) {
+        let Some(machine_type) = self.catalog.machine_type(kind) else { return };
+        let may_spot = machine_type.spot_price.is_some();
+        let need = plans.any.rent.ceil() as usize;
+        let need_ordinary = (plans.ordinary.rent.ceil() as usize).min(need);
+        let spot_zones =
+            if may_spot { self.zones_with_capacity(now, kind, true) } else { Vec::new() };
+        self.spread_rentals(kind, true, &spot_zones, need.saturating_sub(need_ordinary));
+        let left = if spot_zones.is_empty() { need } else { need_ordinary };
+        let ordinary_zones = self.zones_with_capacity(now, kind, false);
+        self.spread_rentals(kind, false, &ordinary_zones, left);
+    }
+
+    /// Zones that may have such machines to rent, the one that has fewest so far first.
+    fn zones_with_capacity(&self, now: f64, kind: u32, spot: bool) -> Vec<u32> {
+        let Some(machine_type) = self.catalog.machine_type(kind) else { return Vec::new() };
+        let mut zones: Vec<u32> = machine_type
+            .zones
             .iter()
-            .filter(|((of, _), _)| *of == kind)
-            .map(|(_, flow)| Flow { machines: flow.machines / ARRIVALS_S, ..*flow })
+            .filter_map(|zone| self.catalog.zones.get(zone.as_str()))
+            .filter(|zone| {
+                self.cluster.cloud.may_have_capacity(Pool { kind, zone: *zone, spot }, now)
+            })
             .collect();
-        let mut plan = |ordinary: bool, needs: &[Need], supply: &Supply| {
-            let sizer = demand.sizers.entry((kind, ordinary)).or_default();
-            let flows = if ordinary { &[] } else { flows.as_slice() };
-            sizer.plan(now, needs, supply, flows, boot_s, &options.sizing)
-        };
-        let any = plan(false, &all, &supply);
-        let mut ordinary = plan(true, &no_spot, &supply_ordinary);
-        let standby = self.cluster.standby.wanted(kind);
-        ordinary.need = ordinary.need.max(f64::from(standby));
-        tracing::debug!(
-            kind,
-            up = supply.up,
-            booting = supply.booting.len(),
-            rent = any.rent,
-            need = any.need,
-            keep = any.keep,
-            pending = all.iter().map(|need| need.pending).sum::<f64>(),
-            running = all.iter().map(|need| need.running).sum::<f64>(),
-            "fleet"
-        );
-        let mut by_zone: BTreeMap<(u32, bool), usize> = BTreeMap::new();
-        for machine in self.cluster.machines.values() {
-            if let Some(zone) = machine.zone.filter(|_| machine.kind == Some(kind)) {
-                *by_zone.entry((zone, machine.spot)).or_default() += 1;
+        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
+        let machines = self.cluster.machines.values();
+        for machine in machines.filter(|m| m.kind == Some(kind) && m.spot == spot) {
+            if let Some(zone) = machine.zone {
+                *counts.entry(zone).or_default() += 1;
             }
         }
-        let mut need = any.rent.ceil() as usize;
-        let need_ordinary = (ordinary.rent.ceil() as usize).min(need.max(1));
-        for spot in [true, false] {
-            let share = if spot { need.saturating_sub(need_ordinary) } else { need };
-            if share == 0 || (spot && !may_spot) {
-                continue;
-            }
-            let mut open: Vec<u32> = zones
-                .iter()
-                .copied()
-                .filter(|zone| {
-                    self.cluster.cloud.may_have_capacity(Pool { kind, zone: *zone, spot }, now)
-                })
-                .collect();
-            if open.is_empty() {
-                continue;
-            }
-            // Spread over zones: the one that has fewest gets the most.
-            open.sort_by_key(|zone| by_zone.get(&(*zone, spot)).copied().unwrap_or(0));
-            let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
-            for step in 0..share {
-                *counts.entry(open[step % open.len()]).or_default() += 1;
-            }
-            for (zone, count) in counts {
-                self.cluster.cloud.want(Pool { kind, zone, spot }, count);
-            }
-            if spot {
-                // What spot machines cannot give, ordinary ones do in the next round.
-                need = need_ordinary;
-            }
+        zones.sort_by_key(|zone| counts.get(zone).copied().unwrap_or(0));
+        zones
+    }
+
+    /// Divides rentals evenly between zones, the first ones getting what is left over.
+    fn spread_rentals(&mut self, kind: u32, spot: bool, zones: &[u32], count: usize) {
+        let mut shares: Vec<(u32, usize)> = Vec::new();
+        for (place, zone) in zones.iter().copied().enumerate() {
+            let extra = usize::from(place < count % zones.len());
+            shares.push((zone, count / zones.len() + extra));
+        }
+        shares.sort_unstable();
+        for (zone, share) in shares.into_iter().filter(|(_, share)| *share > 0) {
+            self.cluster.cloud.want(Pool { kind, zone, spot }, share as u32);
         }
-        // Ordinary machines go as soon as they are not needed; cheap ones stay for
-        // what usually comes.
-        let have = supply.up + supply.booting.len() as f64;
-        let have_ordinary = supply_ordinary.up + supply_ordinary.booting.len() as f64;
-        let over = |have: f64, bound: f64| (have - bound.round()).max(0.0) as usize;
-        let spare_ordinary = over(have_ordinary, ordinary.need).min(over(have, any.need));
-        let spare_spot = over(have, any.keep).saturating_sub(spare_ordinary);
-        self.return_idle(now, options, kind, false, spare_ordinary);
-        self.return_idle(now, options, kind, true, spare_spot);
     }
 
     fn return_idle(&mut self, now: f64, options: &Options, kind: u32, spot: bool, spare: usize) {
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -18,6 +18,13 @@
 use rand::Rng;
 use std::{collections::VecDeque, rc::Rc};
 
+/// How often a change is written before its user is told to come back.
+const MAX_TRIES: u32 = 3;
+/// Most bytes of users' changes in one transaction.
+const MAX_BATCH_BYTES: usize = 48 * 1024;
+/// What a change takes beside a job's description: keys, guards and punctuation.
+const CHANGE_BYTES: usize = 400;
+
 impl Node {
     /// Whether users should be sent here. Without contact to the state service this
     /// node is of use only if the others are known to be no better off; one that hears
@@ -141,14 +148,16 @@
             let status = api::status(&self.world, &id);
             let open = status.as_ref().is_some_and(|status| !status.state.is_final());
             match (then, status) {
-                (Then::Cancel { tries }, _) if open && tries < 3 => {
+                (Then::Cancel { tries }, _) if open && tries < MAX_TRIES => {
                     self.writes.push_back(UserWrite { request, id, spec: None, since, tries });
                 }
                 (Then::Cancel { .. }, Some(_)) if open => {
                     self.later(now, request, "not cancelled yet");
                 }
                 (_, Some(status)) => self.reply(now, request, Reply::json(200, &status)),
-                (Then::Create { spec, tries }, None) if tries < 3 && now - since < WAIT_S => {
+                (Then::Create { spec, tries }, None)
+                    if tries < MAX_TRIES && now - since < WAIT_S =>
+                {
                     let spec = Some(spec);
                     self.writes.push_back(UserWrite { request, id, spec, since, tries });
                 }
@@ -165,56 +174,16 @@
         }
     }
 
+    /// Applies the outcome of a transaction with users' changes.
     pub(super) fn users_written(&mut self, now: f64, writes: Vec<UserWrite>, outcome: Outcome) {
         self.writes_flying -= 1;
         match outcome {
-            Outcome::Committed(_) => {
-                let cancelled = writes.iter().filter(|write| write.spec.is_none());
-                let cancelled: Vec<JobId> = cancelled.map(|write| write.id.clone()).collect();
-                self.publish_cancellations(now, &cancelled);
-                for id in cancelled {
-                    // A leader's own reading may not come for long either.
-                    self.call_off(&id, now);
-                }
-                for write in writes {
-                    let (status, state) = match write.spec {
-                        Some(_) => (201, JobState::Queued),
-                        None => (200, JobState::Cancelled),
-                    };
-                    let answer = JobStatus { id: write.id, state, done: None, running: None };
-                    self.reply(now, write.request, Reply::json(status, &answer));
-                }
-                self.sync_wanted |= self.leader.is_some();
-                self.nudge();
-            }
-            Outcome::Conflict(failed) => {
-                for mut write in writes {
-                    write.tries += 1;
-                    let own = [keys::job(&write.id), keys::final_state(&write.id)];
-                    if !failed.is_empty() && !own.iter().any(|key| failed.contains(key)) {
-                        self.writes.push_front(write);
-                        continue;
-                    }
-                    let then = match write.spec {
-                        Some(spec) => Then::Create { spec, tries: write.tries },
-                        None => Then::Cancel { tries: write.tries },
-                    };
-                    self.waiting.push(Waiter {
-                        request: write.request,
-                        id: Some(write.id),
-                        since: write.since,
-                        from: now,
-                        then,
-                    });
-                }
-                self.sync_wanted = true;
-            }
+            Outcome::Committed(_) => self.user_writes_committed(now, writes),
+            Outcome::Conflict(failed) => self.user_writes_conflicted(now, writes, &failed),
             Outcome::Busy => {
                 self.own_writes.drain(now);
                 self.writes_not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
-                for write in writes.into_iter().rev() {
-                    self.writes.push_front(write);
-                }
+                self.queue_again(writes);
             }
             // Too large: the limits are lower than the settings say. Nothing was done, and
             // what goes in halves may be taken.
@@ -224,32 +193,85 @@
                     at_once = self.writes_at_once,
                     "the state service takes less than its settings say: writing less at once"
                 );
-                for write in writes.into_iter().rev() {
-                    self.writes.push_front(write);
-                }
+                self.queue_again(writes);
             }
             Outcome::Refused | Outcome::NoLease => {
                 for write in writes {
                     self.later(now, write.request, "the state service refuses");
                 }
             }
-            _ => {
-                for write in writes {
-                    let then = match write.spec {
-                        // It may have been made; if it shows, it is accepted.
-                        Some(_) => Then::Unknown,
-                        None => Then::Cancel { tries: 3 },
-                    };
-                    self.waiting.push(Waiter {
-                        request: write.request,
-                        id: Some(write.id),
-                        since: now,
-                        from: now,
-                        then,
-                    });
-                }
-                self.sync_wanted = true;
+            _ => self.user_writes_unanswered(now, writes),
+        }
+    }
+
+    fn user_writes_committed(&mut self, now: f64, writes: Vec<UserWrite>) {
+        let cancelled = writes.iter().filter(|write| write.spec.is_none());
+        let cancelled: Vec<JobId> = cancelled.map(|write| write.id.clone()).collect();
+        self.publish_cancellations(now, &cancelled);
+        for id in cancelled {
+            // A leader's own reading may not come for long either.
+            self.call_off(&id, now);
+        }
+        for write in writes {
+            let (status, state) = match write.spec {
+                Some(_) => (201, JobState::Queued),
+                None => (200, JobState::Cancelled),
+            };
+            let answer = JobStatus { id: write.id, state, done: None, running: None };
+            self.reply(now, write.request, Reply::json(status, &answer));
+        }
+        self.sync_wanted |= self.leader.is_some();
+        self.nudge();
+    }
+
+    /// Nothing was done. Changes whose own keys are as expected go again; the others are
+    /// decided anew after a reading.
+    fn user_writes_conflicted(&mut self, now: f64, writes: Vec<UserWrite>, failed: &[String]) {
+        for mut write in writes {
+            write.tries += 1;
+            let own = [keys::job(&write.id), keys::final_state(&write.id)];
+            if !failed.is_empty() && !own.iter().any(|key| failed.contains(key)) {
+                self.writes.push_front(write);
+                continue;
             }
+            let then = match write.spec {
+                Some(spec) => Then::Create { spec, tries: write.tries },
+                None => Then::Cancel { tries: write.tries },
+            };
+            self.waiting.push(Waiter {
+                request: write.request,
+                id: Some(write.id),
+                since: write.since,
+                from: now,
+                then,
+            });
+        }
+        self.sync_wanted = true;
+    }
+
+    /// The changes may have been made, or may be later: a reading tells whether they show.
+    fn user_writes_unanswered(&mut self, now: f64, writes: Vec<UserWrite>) {
+        for write in writes {
+            let then = match write.spec {
+                // If it shows, it is accepted.
+                Some(_) => Then::Unknown,
+                None => Then::Cancel { tries: MAX_TRIES },
+            };
+            self.waiting.push(Waiter {
+                request: write.request,
+                id: Some(write.id),
+                since: now,
+                from: now,
+                then,
+            });
+        }
+        self.sync_wanted = true;
+    }
+
+    /// Puts changes back in front of the queue, in their order.
+    fn queue_again(&mut self, writes: Vec<UserWrite>) {
+        for write in writes.into_iter().rev() {
+            self.writes.push_front(write);
         }
     }
 
@@ -298,45 +320,66 @@
             return;
         }
         let most = self.writes_at_once.min(self.own_writes.level(now).max(1.0) as usize);
-        let (mut txn, mut batch, mut bytes) = (Txn::default(), Vec::new(), 0);
+        let mut batch = Batch::default();
         let mut kept = VecDeque::new();
         while let Some(write) = self.writes.pop_front() {
-            // One change of a job at a time: two in one transaction would clash.
-            let clash = batch.iter().any(|other: &UserWrite| other.id == write.id);
-            if clash || batch.len() >= most || bytes > 48 * 1024 {
+            if batch.has(&write.id) || batch.writes.len() >= most || batch.bytes > MAX_BATCH_BYTES {
                 kept.push_back(write);
                 continue;
             }
-            let (job, final_state) = (keys::job(&write.id), keys::final_state(&write.id));
-            txn.guards.push(Guard { key: final_state.clone(), version: 0 });
             match &write.spec {
-                Some(spec) => {
-                    let mut value =
-                        serde_json::to_value(&**spec).expect("wire types always serialise");
-                    // A later leader must know how old the job is, not since when
-                    // it has known the job.
-                    value[keys::ACCEPTED_AT] = (self.epoch + write.since).into();
-                    bytes += value.to_string().len() + 400;
-                    txn.guards.push(Guard { key: job.clone(), version: 0 });
-                    txn.writes.push(Write::Put { key: job, value, lease: None });
-                }
+                Some(spec) => batch.create(spec, self.epoch + write.since),
                 None => {
                     let version = self.world.jobs.get(&write.id).map_or(0, |job| job.version);
-                    let value = serde_json::to_value(JobState::Cancelled)
-                        .expect("wire types always serialise");
-                    bytes += 400;
-                    txn.guards.push(Guard { key: job, version });
-                    txn.writes.push(Write::Put { key: final_state, value, lease: None });
+                    batch.cancel(&write.id, version);
                 }
             }
-            batch.push(write);
+            batch.writes.push(write);
         }
         self.writes = kept;
-        if batch.is_empty() {
+        if batch.writes.is_empty() {
             return;
         }
-        self.own_writes.take(now, batch.len() as f64);
+        self.own_writes.take(now, batch.writes.len() as f64);
         self.writes_flying += 1;
-        self.call_state(now, Purpose::Users(batch), Call::Commit(txn));
+        self.call_state(now, Purpose::Users(batch.writes), Call::Commit(batch.txn));
+    }
+}
+
+/// Users' changes that go into one transaction.
+#[derive(Default)]
+struct Batch {
+    writes: Vec<UserWrite>,
+    txn: Txn,
+    /// About how large the transaction is.
+    bytes: usize,
+}
+
+impl Batch {
+    /// Whether it changes a job already: two changes of one in a transaction would clash.
+    fn has(&self, id: &JobId) -> bool {
+        self.writes.iter().any(|write| write.id == *id)
+    }
+
+    /// Adds a new job, accepted at a time of day: a later leader must know how old the job
+    /// is, not since when it has known the job.
+    fn create(&mut self, spec: &JobSpec, accepted_at: f64) {
+        let mut value = serde_json::to_value(spec).expect("wire types always serialise");
+        value[keys::ACCEPTED_AT] = accepted_at.into();
+        self.bytes += value.to_string().len() + CHANGE_BYTES;
+        let key = keys::job(&spec.id);
+        self.txn.guards.push(Guard { key: keys::final_state(&spec.id), version: 0 });
+        self.txn.guards.push(Guard { key: key.clone(), version: 0 });
+        self.txn.writes.push(Write::Put { key, value, lease: None });
+    }
+
+    /// Adds a cancellation of a job whose key has a version.
+    fn cancel(&mut self, id: &JobId, version: u64) {
+        let value = serde_json::to_value(JobState::Cancelled).expect("wire types always serialise");
+        self.bytes += CHANGE_BYTES;
+        let key = keys::final_state(id);
+        self.txn.guards.push(Guard { key: key.clone(), version: 0 });
+        self.txn.guards.push(Guard { key: keys::job(id), version });
+        self.txn.writes.push(Write::Put { key, value, lease: None });
     }
 }
