--- a/crates/gladekeel-http/tests/loopback.rs
+++ b/crates/gladekeel-http/tests/loopback.rs
@@ -68,6 +68,31 @@
     });
 }
 
+#[test]
+fn a_request_that_stays_half_sent_is_answered_and_its_place_given_back() {
+    run(async {
+        let limits = Limits { request: Duration::from_millis(50), ..Limits::for_connections(1) };
+        let addr = serve(limits, ConnectionClasses { reserved: vec![0], classify: |_| 0 }).await;
+        for half in [
+            "POST /p HTTP/1.1\r\nContent-Le",
+            "POST /p HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo",
+            // One that is whole is answered before the half of the next.
+            "GET /whole HTTP/1.1\r\n\r\nGET /ha",
+        ] {
+            // The connection is kept open: the server ends it.
+            let answer = raw(addr, half.as_bytes()).await;
+            let statuses = answer.matches("HTTP/1.1 ").count();
+            let whole = half.contains("/whole");
+            assert_eq!(statuses, 1 + usize::from(whole), "{answer}");
+            assert_eq!(answer.starts_with("HTTP/1.1 200"), whole, "{answer}");
+            assert!(answer.contains("HTTP/1.1 408"), "{answer}");
+        }
+        // The only place is free again.
+        let answer = raw(addr, b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
 #[test]
 fn the_client_tells_unsent_from_unanswered() {
     run(async {
