--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -35,85 +35,94 @@
         }
     }
 
+    /// Applies a frame that another controller has sent.
     pub(super) fn on_mesh(&mut self, now: f64, header: &Header, kind: Kind, payload: &[u8]) {
+        let Some(name) = self.node_at(header.from.get()) else { return };
+        let Some(peer) = self.peers.iter().position(|peer| peer.name == name) else { return };
+        match kind {
+            Kind::Nudge => self.sync_wanted = true,
+            Kind::Hello => self.on_hello(now, peer, header, payload),
+            Kind::Relay => self.on_relay(now, peer, header, payload),
+            Kind::Relayed => self.on_relayed(now, header, payload),
+            Kind::Counts => self.on_counts(&name, payload),
+            Kind::Cancelled => self.on_cancellations(payload),
+        }
+    }
+
+    /// The name of the node that has an index among all of them, by the order of names.
+    fn node_at(&self, index: u32) -> Option<String> {
         let mut names: Vec<&str> = self.settings.peers.iter().map(|p| p.node.as_str()).collect();
         names.push(&self.settings.node);
         names.sort_unstable();
-        let Some(name) = names.get(header.from.get() as usize).map(|name| (*name).to_owned())
-        else {
+        names.get(index as usize).map(|name| (*name).to_owned())
+    }
+
+    fn on_hello(&mut self, now: f64, peer: usize, header: &Header, payload: &[u8]) {
+        let Ok(hello) = Hello::read_from_bytes(payload) else { return };
+        let peer = &mut self.peers[peer];
+        peer.heard_at = Some(now);
+        peer.contact_ms = hello.contact_ms.get();
+        peer.leads = hello.leads.get();
+        peer.level = header.status.get();
+        // It knows no counts, and would show a running job as queued until the job's next
+        // change.
+        self.peer_restarted |= peer.run != header.call.get();
+        peer.run = header.call.get();
+        // A leader that the state service no longer answers learns here that another one
+        // leads; to stop early is always safe.
+        if self.leader.as_ref().is_some_and(|leader| leader.token < hello.leads.get()) {
+            tracing::warn!(by = peer.name, "another node leads: no longer leading");
+            self.leader = None;
+            self.sync_wanted = true;
+        }
+    }
+
+    /// Answers a worker's report that another node has passed on. Only a leader with
+    /// something to say does; the other node keeps the worker's lease otherwise.
+    fn on_relay(&mut self, now: f64, peer: usize, header: &Header, payload: &[u8]) {
+        let report = serde_json::from_slice::<Report>(payload);
+        let (may_renew_leases, fresh) = (self.may_renew_leases(now), self.fresh(now));
+        if let (Some(leader), Ok(report)) = (&mut self.leader, report)
+            && may_renew_leases
+            && report.token <= leader.token
+        {
+            let answer = leader.on_report(now, &report, fresh);
+            let body = serde_json::to_vec(&answer).expect("wire types always serialise");
+            self.send(peer, Kind::Relayed, 200, header.call.get(), &body);
+        }
+    }
+
+    /// Passes the leader's answer to a worker's report on to the worker.
+    fn on_relayed(&mut self, now: f64, header: &Header, payload: &[u8]) {
+        let Some((id, ..)) = self.relays.remove(&header.call.get()) else { return };
+        let status = header.status.get();
+        let reply = Reply { status, retry_after: None, body: payload.to_vec(), plain: false };
+        self.reply(now, id, reply);
+    }
+
+    fn on_counts(&mut self, sender: &str, payload: &[u8]) {
+        let leader = self.world.leader.as_ref();
+        if leader.is_none_or(|(record, _)| record.node != sender) {
             return;
-        };
-        match kind {
-            Kind::Nudge => self.sync_wanted = true,
-            Kind::Hello => {
-                let Ok(hello) = Hello::read_from_bytes(payload) else { return };
-                if let Some(peer) = self.peers.iter_mut().find(|peer| peer.name == name) {
-                    peer.heard_at = Some(now);
-                    peer.contact_ms = hello.contact_ms.get();
-                    peer.leads = hello.leads.get();
-                    peer.level = header.status.get();
-                    // It knows no counts, and would show a running job as queued until the
-                    // job's next change.
-                    self.peer_restarted |= peer.run != header.call.get();
-                    peer.run = header.call.get();
-                }
-                // A leader that the state service no longer answers learns here that
-                // another one leads; to stop early is always safe.
-                if self.leader.as_ref().is_some_and(|l| l.token < hello.leads.get()) {
-                    tracing::warn!(by = name, "another node leads: no longer leading");
-                    self.leader = None;
-                    self.sync_wanted = true;
-                }
-            }
-            Kind::Relay => {
-                let Some(peer) = self.peers.iter().position(|peer| peer.name == name) else {
-                    return;
-                };
-                let report = serde_json::from_slice::<Report>(payload);
-                let (may_renew_leases, fresh) = (self.may_renew_leases(now), self.fresh(now));
-                // Only a leader with something to say answers; the other node keeps
-                // the worker's lease otherwise.
-                if let (Some(leader), Ok(report)) = (&mut self.leader, report)
-                    && may_renew_leases
-                    && report.token <= leader.token
-                {
-                    let answer = leader.on_report(now, &report, fresh);
-                    let body = serde_json::to_vec(&answer).expect("wire types always serialise");
-                    self.send(peer, Kind::Relayed, 200, header.call.get(), &body);
-                }
-            }
-            Kind::Counts => {
-                let from_leader =
-                    self.world.leader.as_ref().is_some_and(|(record, _)| record.node == name);
-                for (id, done, running) in mesh::read_counts(payload).unwrap_or_default() {
-                    // Jobs that this node has not heard of yet are told again.
-                    if from_leader && self.world.jobs.contains_key(&id) {
-                        self.world.counts.insert(id, Counts { done, running });
-                    }
-                }
-            }
-            Kind::Cancelled => {
-                // The frame may have been held back, but the last reading that was
-                // answered did not tell of it.
-                let after = self.contact.unwrap_or(f64::NEG_INFINITY);
-                for id in mesh::read_jobs(payload).unwrap_or_default() {
-                    self.call_off(&id, after);
-                }
-                self.sync_wanted = true;
-            }
-            Kind::Relayed => {
-                if let Some((id, ..)) = self.relays.remove(&header.call.get()) {
-                    let status = header.status.get();
-                    self.reply(
-                        now,
-                        id,
-                        Reply { status, retry_after: None, body: payload.to_vec(), plain: false },
-                    );
-                }
+        }
+        for (id, done, running) in mesh::read_counts(payload).unwrap_or_default() {
+            // Jobs that this node has not heard of yet are told again.
+            if self.world.jobs.contains_key(&id) {
+                self.world.counts.insert(id, Counts { done, running });
             }
         }
     }
 
+    fn on_cancellations(&mut self, payload: &[u8]) {
+        // The frame may have been held back, but the last reading that was answered did not
+        // tell of it.
+        let after = self.contact.unwrap_or(f64::NEG_INFINITY);
+        for id in mesh::read_jobs(payload).unwrap_or_default() {
+            self.call_off(&id, after);
+        }
+        self.sync_wanted = true;
+    }
+
     /// A job's cancellation is committed, some time after `after`; the store has not told
     /// of it yet, and may not for long.
     pub(super) fn call_off(&mut self, id: &JobId, after: f64) {
