--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -290,21 +290,8 @@
     fn committed(&mut self, now: f64, sent: Sent, revision: u64) {
         self.cluster.counts.commits += 1;
         self.cluster.counts.writes += sent.writes as u64;
-        for ix in &sent.final_states {
-            self.commits.finished.remove(ix);
-            if let Some(job) = self.jobs.get_mut(ix) {
-                job.final_state = Some(JobState::Done);
-                if self.attempts.of_job(*ix).is_empty() {
-                    self.commits.cleared.insert(*ix);
-                }
-                tracing::info!(
-                    job = %job.id,
-                    class = job.spec.class,
-                    took_s = now - job.known_at,
-                    deadline_s = job.spec.deadline_s,
-                    "job done"
-                );
-            }
+        for ix in sent.final_states {
+            self.final_state_committed(now, ix);
         }
         for ix in sent.cleared {
             self.commits.cleared.remove(&ix);
@@ -319,36 +306,10 @@
             self.commits.types = None;
         }
         for segment in sent.segments {
-            for id in &segment.attempts {
-                self.attempts.update(*id, |attempt| attempt.logged = segment.seq);
-            }
-            for (ix, chunk) in &segment.whole {
-                if let Some(job) = self.jobs.get_mut(ix) {
-                    job.progress_segment.insert(*chunk, segment.seq);
-                }
-            }
-            let SentSegment { slot, seq, attempts, chunks, .. } = segment;
-            self.commits.segments.push_back(LogSegment {
-                slot,
-                version: revision,
-                seq,
-                attempts,
-                chunks,
-            });
+            self.segment_committed(segment, revision);
         }
-        for id in &sent.proposed {
-            self.commits.proposed.remove(id);
-            let live = self.attempts.update(*id, |attempt| {
-                attempt.phase = Phase::Live;
-                (attempt.job, attempt.machine)
-            });
-            let Some((job_ix, machine)) = live else { continue };
-            self.direct.wanted.insert(machine);
-            self.cluster.counts.starts += 1;
-            let gang = self.jobs.get(&job_ix).is_some_and(Job::is_gang);
-            if gang && self.attempts.of_job(job_ix).uncommitted() == 0 {
-                self.direct.wanted.extend(self.attempts.of_job(job_ix).machines());
-            }
+        for id in sent.proposed {
+            self.assignment_committed(id);
         }
         for id in sent.released {
             self.commits.released.remove(&id);
@@ -359,6 +320,52 @@
         self.reclaim();
     }
 
+    fn final_state_committed(&mut self, now: f64, ix: u32) {
+        self.commits.finished.remove(&ix);
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
+        job.final_state = Some(JobState::Done);
+        if self.attempts.of_job(ix).is_empty() {
+            self.commits.cleared.insert(ix);
+        }
+        tracing::info!(
+            job = %job.id,
+            class = job.spec.class,
+            took_s = now - job.known_at,
+            deadline_s = job.spec.deadline_s,
+            "job done"
+        );
+    }
+
+    fn segment_committed(&mut self, segment: SentSegment, revision: u64) {
+        let SentSegment { slot, seq, attempts, chunks, whole, .. } = segment;
+        for id in &attempts {
+            self.attempts.update(*id, |attempt| attempt.logged = seq);
+        }
+        for (ix, chunk) in whole {
+            if let Some(job) = self.jobs.get_mut(&ix) {
+                job.progress_segment.insert(chunk, seq);
+            }
+        }
+        let version = revision;
+        self.commits.segments.push_back(LogSegment { slot, version, seq, attempts, chunks });
+    }
+
+    /// An assignment is in the log: its task may be sent out, a gang's once all of it is.
+    fn assignment_committed(&mut self, id: u64) {
+        self.commits.proposed.remove(&id);
+        let live = self.attempts.update(id, |attempt| {
+            attempt.phase = Phase::Live;
+            (attempt.job, attempt.machine)
+        });
+        let Some((job_ix, machine)) = live else { return };
+        self.direct.wanted.insert(machine);
+        self.cluster.counts.starts += 1;
+        let is_gang = self.jobs.get(&job_ix).is_some_and(Job::is_gang);
+        if is_gang && self.attempts.of_job(job_ix).uncommitted() == 0 {
+            self.direct.wanted.extend(self.attempts.of_job(job_ix).machines());
+        }
+    }
+
     /// Drops proposals that are in no transaction. A gang is placed whole or not at all:
     /// what is committed of it is stopped, and the rest is withdrawn with them.
     pub(super) fn withdraw(&mut self, ids: &[u64], now: f64) {
--- a/crates/gladekeel-testkit/src/gang.rs
+++ b/crates/gladekeel-testkit/src/gang.rs
@@ -58,8 +58,29 @@
     jobs: BTreeMap<JobId, Record>,
 }
 
-/// Where a task is: its index, its machine, its place in the machine's list.
-type Seat = (u32, Rc<str>, usize);
+/// Progress that sums of small steps may fall short of the whole by.
+const ROUNDING_S: f64 = 1e-6;
+
+/// A task of a gang, by where it is.
+#[derive(Debug, Clone)]
+struct Member {
+    /// The task's index in its job.
+    index: u32,
+    /// Its machine.
+    machine: Rc<str>,
+    /// Its position in the machine's list.
+    position: usize,
+}
+
+impl Member {
+    fn worker<'a>(&self, workers: &'a BTreeMap<String, Worker>) -> &'a Worker {
+        &workers[&*self.machine]
+    }
+
+    fn task<'a>(&self, workers: &'a BTreeMap<String, Worker>) -> &'a Task {
+        &self.worker(workers).tasks[self.position]
+    }
+}
 
 /// Whether a task takes part in its gang as far as it can tell.
 fn present(task: &Task) -> bool {
@@ -83,7 +104,7 @@
         now: f64,
         workers: &mut BTreeMap<String, Worker>,
     ) -> Vec<(String, Happened)> {
-        let mut seats: BTreeMap<(JobId, u64), Vec<Seat>> = BTreeMap::new();
+        let mut members: BTreeMap<(JobId, u64), Vec<Member>> = BTreeMap::new();
         for (name, worker) in workers.iter() {
             let name: Rc<str> = name.as_str().into();
             let gangs = worker.tasks.iter().enumerate();
@@ -95,21 +116,24 @@
                 let job = self.jobs.entry(first.task.job.clone()).or_default();
                 job.attempts.insert(first.attempt);
                 let present = attempt.iter().filter(|(_, task)| present(task));
-                let here = present.map(|(at, task)| (task.task.index, name.clone(), *at));
+                let here = present.map(|(position, task)| Member {
+                    index: task.task.index,
+                    machine: name.clone(),
+                    position: *position,
+                });
                 let mut here = here.peekable();
                 if here.peek().is_some() {
                     let key = (first.task.job.clone(), first.attempt);
-                    seats.entry(key).or_default().extend(here);
+                    members.entry(key).or_default().extend(here);
                 }
             }
         }
         let mut happened = Vec::new();
-        let keys: BTreeSet<_> = seats.keys().chain(self.runs.keys()).cloned().collect();
+        let keys: BTreeSet<_> = members.keys().chain(self.runs.keys()).cloned().collect();
         for key in keys {
-            let here = seats.remove(&key).unwrap_or_default();
-            let (waiting, running): (Vec<Seat>, Vec<Seat>) = here
-                .into_iter()
-                .partition(|(_, name, at)| workers[&**name].tasks[*at].state == TaskState::Waiting);
+            let here = members.remove(&key).unwrap_or_default();
+            let (waiting, running): (Vec<Member>, Vec<Member>) =
+                here.into_iter().partition(|m| m.task(workers).state == TaskState::Waiting);
             if self.runs.contains_key(&key) {
                 self.go_on(now, &key, &running, workers, &mut happened);
             }
@@ -125,38 +149,38 @@
         &mut self,
         now: f64,
         key: &(JobId, u64),
-        waiting: &[Seat],
+        waiting: &[Member],
         workers: &mut BTreeMap<String, Worker>,
         happened: &mut Vec<(String, Happened)>,
     ) {
-        let awake: Vec<&Seat> =
-            waiting.iter().filter(|(_, name, _)| !workers[&**name].hung).collect();
-        let Some((_, name, at)) = awake.first() else { return };
-        let spec = workers[&**name].tasks[*at].spec.clone();
+        let awake: Vec<&Member> =
+            waiting.iter().filter(|member| !member.worker(workers).hung).collect();
+        let Some(first) = awake.first() else { return };
+        let spec = first.task(workers).spec.clone();
         let job = self.jobs.entry(key.0.clone()).or_default();
         if job.done {
             // The result is kept: whoever comes later has nothing left to do.
-            for (_, name, at) in awake {
-                exit(workers, name, *at, Cause::Done, None, happened);
+            for member in awake {
+                exit(workers, member, Cause::Done, None, happened);
             }
             return;
         }
-        let indices: BTreeSet<u32> = awake.iter().map(|(index, ..)| *index).collect();
+        let indices: BTreeSet<u32> = awake.iter().map(|member| member.index).collect();
         if indices.len() < spec.tasks as usize && !self.alone {
             return;
         }
         job.runs += 1;
         let progress_s = job.kept_s;
-        for (_, name, at) in awake {
-            let Some(worker) = workers.get_mut(&**name) else { continue };
+        for member in awake {
+            let Some(worker) = workers.get_mut(&*member.machine) else { continue };
             let fails = worker.sick || spec.class == "faulty";
             worker.changed = true;
-            let task = &mut worker.tasks[*at];
+            let task = &mut worker.tasks[member.position];
             task.state = TaskState::Running;
             task.until = if fails { now + 0.5 } else { f64::MAX };
             task.cause = fails.then_some(Cause::Error);
             let what = Happened::Runs(task.task.clone(), task.attempt);
-            happened.push((name.to_string(), what));
+            happened.push((member.machine.to_string(), what));
         }
         let run = Run { at: now, progress_s, halted_at: None, safe: false, broken_at: None };
         self.runs.insert(key.clone(), run);
@@ -167,13 +191,13 @@
         &mut self,
         now: f64,
         key: &(JobId, u64),
-        running: &[Seat],
+        running: &[Member],
         workers: &mut BTreeMap<String, Worker>,
         happened: &mut Vec<(String, Happened)>,
     ) {
         let Some(run) = self.runs.get_mut(key) else { return };
         let job = self.jobs.entry(key.0.clone()).or_default();
-        let Some((_, name, at)) = running.first() else {
+        let Some(first) = running.first() else {
             // Its last task is gone; what it had not kept is lost.
             if let Some(run) = self.runs.remove(key)
                 && !run.safe
@@ -183,78 +207,117 @@
             }
             return;
         };
-        let spec = workers[&**name].tasks[*at].spec.clone();
-        let told = |(_, name, at): &Seat| workers[&**name].tasks[*at].told_at;
-        let first = running.iter().filter_map(told).min_by(f64::total_cmp);
-        run.halted_at = run.halted_at.or(first);
-        let hung = running.iter().any(|(_, name, _)| workers[&**name].hung);
-        let whole = running.len() == spec.tasks as usize && !hung;
-
+        let spec = first.task(workers).spec.clone();
+        let halts = running.iter().filter_map(|member| member.task(workers).told_at);
+        let first_halt = halts.min_by(f64::total_cmp);
+        run.halted_at = run.halted_at.or(first_halt);
         if run.broken_at.is_none() && !run.safe {
-            // Progress ends with the first halt. What was made until a task went is
-            // counted up to the last step that saw all of them.
-            let until = run.halted_at.map_or(now, |halted| halted.min(now));
-            if whole && until > run.at {
-                let slowest = running.iter().map(|(_, name, _)| workers[&**name].slow);
-                run.progress_s += (until - run.at) / slowest.fold(1.0, f64::max);
-            }
-            run.at = now;
-            keep_checkpoints(job, &spec, run.progress_s);
-            if !whole {
-                run.broken_at = Some(now);
-                job.lost_s += run.progress_s - job.kept_s;
-            }
+            run.make_progress(now, job, &spec, running, workers);
         }
         if let Some(broken_at) = run.broken_at {
-            // Some notice early, some as late as they may.
-            for (index, name, at) in running {
-                let part = f64::from(*index + 1) / f64::from(spec.tasks);
-                let notices_at = broken_at + self.peer_s * (0.25 + 0.7 * part);
-                if now >= notices_at && !workers[&**name].hung {
-                    exit(workers, name, *at, Cause::PeersGone, None, happened);
-                }
+            fall_apart(now, broken_at, self.peer_s, running, workers, happened);
+        } else if let Some(halted_at) = run.halted_at {
+            let late_at = halted_at + self.peer_s;
+            run.stop_in_order(now, late_at, job, running, workers, happened);
+        } else if run.progress_s >= spec.estimate_s - ROUNDING_S {
+            job.done = true;
+            self.runs.remove(key);
+            for member in running {
+                exit(workers, member, Cause::Done, None, happened);
             }
-            return;
         }
-        if let Some(halted_at) = run.halted_at {
-            let late_at = halted_at + self.peer_s;
-            let all_told = run.safe || running.iter().all(|seat| told(seat).is_some());
-            let saved_at = |seat: &Seat| told(seat).map(|told| told + spec.save_s);
-            let all_saved =
-                all_told && running.iter().all(|s| saved_at(s).is_some_and(|t| t <= now));
-            let mut leave = Vec::new();
-            for seat in running.iter().filter(|(_, name, _)| !workers[&**name].hung) {
-                let saved = saved_at(seat).is_some_and(|saved| saved <= now);
-                if all_told {
-                    if saved && (all_saved || run.safe || now >= late_at) {
-                        leave.push((seat, Cause::Stopped, Some(true)));
-                    }
-                } else if now >= late_at {
-                    let cause =
-                        if told(seat).is_some() { Cause::Stopped } else { Cause::PeersGone };
-                    leave.push((seat, cause, told(seat).map(|_| false)));
+    }
+}
+
+impl Run {
+    /// Adds the progress since the last step. It ends with the first halt; what was made
+    /// until a task went is counted up to the last step that saw all of them.
+    fn make_progress(
+        &mut self,
+        now: f64,
+        job: &mut Record,
+        spec: &JobSpec,
+        running: &[Member],
+        workers: &BTreeMap<String, Worker>,
+    ) {
+        let hung = running.iter().any(|member| member.worker(workers).hung);
+        let whole = running.len() == spec.tasks as usize && !hung;
+        let until = self.halted_at.map_or(now, |halted| halted.min(now));
+        if whole && until > self.at {
+            let slowest = running.iter().map(|member| member.worker(workers).slow);
+            self.progress_s += (until - self.at) / slowest.fold(1.0, f64::max);
+        }
+        self.at = now;
+        keep_checkpoints(job, spec, self.progress_s);
+        if !whole {
+            self.fail(now, job);
+        }
+    }
+
+    /// The gang falls back to its last checkpoint.
+    fn fail(&mut self, now: f64, job: &mut Record) {
+        self.broken_at = Some(now);
+        job.lost_s += self.progress_s - job.kept_s;
+    }
+
+    /// Lets a gang whose first task was told to stop save and exit; tasks that are not told
+    /// until `late_at` make the save fail.
+    fn stop_in_order(
+        &mut self,
+        now: f64,
+        late_at: f64,
+        job: &mut Record,
+        running: &[Member],
+        workers: &mut BTreeMap<String, Worker>,
+        happened: &mut Vec<(String, Happened)>,
+    ) {
+        let is_told = |member: &Member| member.task(workers).told_at.is_some();
+        let has_saved = |member: &Member| {
+            let task = member.task(workers);
+            task.told_at.is_some_and(|told_at| told_at + task.spec.save_s <= now)
+        };
+        let all_told = self.safe || running.iter().all(is_told);
+        let all_saved = all_told && running.iter().all(has_saved);
+        let mut leave = Vec::new();
+        for member in running.iter().filter(|member| !member.worker(workers).hung) {
+            if all_told {
+                if has_saved(member) && (all_saved || self.safe || now >= late_at) {
+                    leave.push((member, Cause::Stopped, Some(true)));
                 }
+            } else if now >= late_at && is_told(member) {
+                leave.push((member, Cause::Stopped, Some(false)));
+            } else if now >= late_at {
+                leave.push((member, Cause::PeersGone, None));
             }
-            if !all_told && now >= late_at {
-                run.broken_at = Some(now);
-                job.lost_s += run.progress_s - job.kept_s;
-            } else if !leave.is_empty() && !run.safe {
-                run.safe = true;
-                job.saves += 1;
-                job.kept_s = run.progress_s;
-            }
-            for ((_, name, at), cause, saved) in leave {
-                exit(workers, name, *at, cause, saved, happened);
-            }
-            return;
         }
-        // Sums of small steps fall short of the whole by rounding.
-        if run.progress_s >= spec.estimate_s - 1e-6 {
-            job.done = true;
-            self.runs.remove(key);
-            for (_, name, at) in running {
-                exit(workers, name, *at, Cause::Done, None, happened);
-            }
+        if !all_told && now >= late_at {
+            self.fail(now, job);
+        } else if !leave.is_empty() && !self.safe {
+            self.safe = true;
+            job.saves += 1;
+            job.kept_s = self.progress_s;
+        }
+        for (member, cause, saved) in leave {
+            exit(workers, member, cause, saved, happened);
+        }
+    }
+}
+
+/// Ends the tasks of a gang that has lost one: some notice early, some as late as they may.
+fn fall_apart(
+    now: f64,
+    broken_at: f64,
+    peer_s: f64,
+    running: &[Member],
+    workers: &mut BTreeMap<String, Worker>,
+    happened: &mut Vec<(String, Happened)>,
+) {
+    for member in running {
+        let tasks = member.task(workers).spec.tasks;
+        let part = f64::from(member.index + 1) / f64::from(tasks);
+        let notices_at = broken_at + peer_s * (0.25 + 0.7 * part);
+        if now >= notices_at && !member.worker(workers).hung {
+            exit(workers, member, Cause::PeersGone, None, happened);
         }
     }
 }
@@ -262,7 +325,7 @@
 /// Checkpoints lie at multiples of the job's progress, whichever attempt made it.
 fn keep_checkpoints(job: &mut Record, spec: &JobSpec, progress_s: f64) {
     if spec.checkpoint_s > 0.0 {
-        let reached = ((progress_s + 1e-6) / spec.checkpoint_s).floor() * spec.checkpoint_s;
+        let reached = ((progress_s + ROUNDING_S) / spec.checkpoint_s).floor() * spec.checkpoint_s;
         job.kept_s = job.kept_s.max(reached);
     }
 }
@@ -270,19 +333,18 @@
 /// Ends a task on its machine.
 fn exit(
     workers: &mut BTreeMap<String, Worker>,
-    name: &str,
-    at: usize,
+    member: &Member,
     cause: Cause,
     saved: Option<bool>,
     happened: &mut Vec<(String, Happened)>,
 ) {
-    let Some(worker) = workers.get_mut(name) else { return };
+    let Some(worker) = workers.get_mut(&*member.machine) else { return };
     worker.changed = true;
-    let task = &mut worker.tasks[at];
+    let task = &mut worker.tasks[member.position];
     task.state = TaskState::Exited;
     task.until = f64::MAX;
     task.cause = Some(cause);
     task.saved = saved;
     let ended = Happened::Ended(task.task.clone(), cause == Cause::Done);
-    happened.push((name.to_owned(), ended));
+    happened.push((member.machine.to_string(), ended));
 }
--- a/crates/gladekeel-testkit/src/sim/close_looks.rs
+++ b/crates/gladekeel-testkit/src/sim/close_looks.rs
@@ -41,7 +41,7 @@
         for node in 0..self.nodes.len() {
             self.look_at_node(node, id);
         }
-        if !is_over && self.strikes(CANCELLED_AT_ONCE) {
+        if !is_over && self.happens(CANCELLED_AT_ONCE) {
             let (id, after_s) = (id.clone(), self.rng.random_range(LOOK_WITHIN_S));
             self.after(after_s, move |sim| sim.cancel(id));
         }
--- a/crates/gladekeel-testkit/src/sim/machines.rs
+++ b/crates/gladekeel-testkit/src/sim/machines.rs
@@ -29,7 +29,7 @@
                 self.rules.sent_directly(self.now, task);
             }
         }
-        if request.body.is_some() && self.strikes(self.message_faults.late_commands) {
+        if request.body.is_some() && self.happens(self.message_faults.late_commands) {
             return self.delay_command(request);
         }
         // Addresses of workers are their machines' names here.
--- a/crates/gladekeel-testkit/src/sim/message_faults.rs
+++ b/crates/gladekeel-testkit/src/sim/message_faults.rs
@@ -42,8 +42,8 @@
 }
 
 impl Sim {
-    /// Whether a message meets a fault that strikes this share of its kind.
-    pub(super) fn strikes(&mut self, share: f64) -> bool {
+    /// Draws whether what happens to this share of all cases happens now.
+    pub(super) fn happens(&mut self, share: f64) -> bool {
         share > 0.0 && self.rng.random::<f64>() < share
     }
 
@@ -68,7 +68,7 @@
 
     /// Keeps a copy of a report for the next leader, if it is one of that share.
     pub(super) fn maybe_keep_report(&mut self, from: End, report: &Report) {
-        if self.strikes(self.message_faults.reports_for_next_leader) {
+        if self.happens(self.message_faults.reports_for_next_leader) {
             let body = serde_json::to_vec(report).unwrap_or_default();
             self.message_faults.kept_reports.push(KeptReport { from, body });
         }
--- a/crates/gladekeel-testkit/src/sim/services.rs
+++ b/crates/gladekeel-testkit/src/sim/services.rs
@@ -32,7 +32,7 @@
             });
         }
         let answer_lost =
-            matches!(request, Call::Commit(_)) && self.strikes(self.message_faults.lost_answers);
+            matches!(request, Call::Commit(_)) && self.happens(self.message_faults.lost_answers);
         let copies = 1 + usize::from(self.rng.random::<f64>() < self.late_copies);
         for copy in 0..copies {
             let request = request.clone();
--- a/crates/gladekeel-testkit/src/sim/users.rs
+++ b/crates/gladekeel-testkit/src/sim/users.rs
@@ -72,7 +72,7 @@
     pub fn submit_in_stream(&mut self, spec: JobSpec, after_s: f64, cancelled: f64) {
         let id = spec.id.clone();
         self.after(after_s, move |sim| sim.submit(spec));
-        if self.strikes(cancelled) {
+        if self.happens(cancelled) {
             let after_s = after_s + self.rng.random_range(CANCELLED_WITHIN_S);
             self.after(after_s, move |sim| sim.cancel(id));
         }
