Attempts are named by AttemptId; the number that workers know stays a plain one

Ids of the log and numbers of the protocol differ for gangs by the task's index; one place turns them into each other.

--- a/crates/gladekeel-controller/src/leader/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/attempts.rs
@@ -4,7 +4,10 @@
 //! is being stopped, is asked whenever one of its tasks ends, so these answers are kept
 //! up to date with each change of an attempt instead of being worked out from all of them.
 
-use super::attempt::{Attempt, Phase};
+use super::{
+    AttemptId,
+    attempt::{Attempt, Phase},
+};
 use gladekeel_wire::worker::TaskState;
 use std::{
     cell::Cell,
@@ -14,7 +17,7 @@
 /// The attempts of one job.
 #[derive(Debug, Default)]
 pub(super) struct JobAttempts {
-    ids: BTreeSet<u64>,
+    ids: BTreeSet<AttemptId>,
     /// Proposed, not committed.
     uncommitted: u32,
     /// Being stopped.
@@ -39,7 +42,7 @@
 
 impl JobAttempts {
     /// Their ids, releasing ones included.
-    pub fn ids(&self) -> &BTreeSet<u64> {
+    pub fn ids(&self) -> &BTreeSet<AttemptId> {
         &self.ids
     }
 
@@ -83,7 +86,7 @@
 /// Every attempt that the leader counts as on a machine.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
-    all: BTreeMap<u64, Attempt>,
+    all: BTreeMap<AttemptId, Attempt>,
     by_job: BTreeMap<u32, JobAttempts>,
     /// By machine and image, how many wait for the image or have not been seen to run.
     not_run: BTreeMap<u32, BTreeMap<u32, u32>>,
@@ -98,13 +101,13 @@
     }
 
     /// One of them.
-    pub fn get(&self, id: u64) -> Option<&Attempt> {
+    pub fn get(&self, id: AttemptId) -> Option<&Attempt> {
         self.lookups.set(self.lookups.get() + 1);
         self.all.get(&id)
     }
 
     /// All of them, by id.
-    pub fn iter(&self) -> impl Iterator<Item = (u64, &Attempt)> {
+    pub fn iter(&self) -> impl Iterator<Item = (AttemptId, &Attempt)> {
         self.lookups.set(self.lookups.get() + self.all.len() as u64);
         self.all.iter().map(|(id, attempt)| (*id, attempt))
     }
@@ -115,7 +118,7 @@
     }
 
     /// The ids of a job's attempts, to change them one by one.
-    pub fn ids_of_job(&self, job: u32) -> Vec<u64> {
+    pub fn ids_of_job(&self, job: u32) -> Vec<AttemptId> {
         self.of_job(job).ids.iter().copied().collect()
     }
 
@@ -125,20 +128,24 @@
     }
 
     /// Adds a new one.
-    pub fn insert(&mut self, id: u64, attempt: Attempt) {
+    pub fn insert(&mut self, id: AttemptId, attempt: Attempt) {
         self.count(id, &attempt, Change::Add);
         self.all.insert(id, attempt);
     }
 
     /// Takes one away.
-    pub fn remove(&mut self, id: u64) -> Option<Attempt> {
+    pub fn remove(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.all.remove(&id)?;
         self.count(id, &attempt, Change::Remove);
         Some(attempt)
     }
 
     /// Changes one, by any of its fields but job, machine and image.
-    pub fn update<R>(&mut self, id: u64, change: impl FnOnce(&mut Attempt) -> R) -> Option<R> {
+    pub fn update<R>(
+        &mut self,
+        id: AttemptId,
+        change: impl FnOnce(&mut Attempt) -> R,
+    ) -> Option<R> {
         self.lookups.set(self.lookups.get() + 1);
         let attempt = self.all.get_mut(&id)?;
         let before = Tally::of(attempt);
@@ -161,7 +168,7 @@
         self.lookups.take()
     }
 
-    fn count(&mut self, id: u64, attempt: &Attempt, change: Change) {
+    fn count(&mut self, id: AttemptId, attempt: &Attempt, change: Change) {
         let tally = Tally::of(attempt);
         let of_job = self.by_job.entry(attempt.job).or_default();
         let on_machine = of_job.machines.entry(attempt.machine).or_default();
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -11,7 +11,7 @@
 
 mod draft;
 
-use super::{Job, Leader, Phase, StopReason};
+use super::{AttemptId, Job, Leader, Phase, StopReason};
 use crate::{keys, log, world::World};
 use draft::Draft;
 use gladekeel_store::{Bucket, Outcome};
@@ -42,7 +42,7 @@
     version: u64,
     seq: u64,
     /// Attempts that it assigns.
-    attempts: Vec<u64>,
+    attempts: Vec<AttemptId>,
     /// Chunks of progress that it tells of, by job.
     chunks: Vec<(u32, u32)>,
 }
@@ -51,9 +51,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Commits {
     /// Proposed attempts.
-    pub proposed: BTreeSet<u64>,
+    pub proposed: BTreeSet<AttemptId>,
     /// Attempts that are off their machines.
-    pub released: BTreeSet<u64>,
+    pub released: BTreeSet<AttemptId>,
     /// Jobs whose tasks are all done.
     pub finished: BTreeSet<u32>,
     /// Jobs that have a final state and nothing on any machine.
@@ -85,7 +85,7 @@
     slot: u32,
     version: u64,
     seq: u64,
-    attempts: Vec<u64>,
+    attempts: Vec<AttemptId>,
     chunks: Vec<(u32, u32)>,
     /// Those of the chunks that it tells whole.
     whole: Vec<(u32, u32)>,
@@ -95,8 +95,8 @@
 #[derive(Debug, Default)]
 struct Sent {
     segments: Vec<SentSegment>,
-    proposed: BTreeSet<u64>,
-    released: Vec<u64>,
+    proposed: BTreeSet<AttemptId>,
+    released: Vec<AttemptId>,
     final_states: Vec<u32>,
     cleared: Vec<u32>,
     drains: Vec<String>,
@@ -123,7 +123,7 @@
         slot: u32,
         version: u64,
         seq: u64,
-        attempts: Vec<u64>,
+        attempts: Vec<AttemptId>,
         chunks: Vec<(u32, u32)>,
     ) {
         self.segments.push_back(LogSegment { slot, version, seq, attempts, chunks });
@@ -351,7 +351,7 @@
     }
 
     /// An assignment is in the log: its task may be sent out, a gang's once all of it is.
-    fn assignment_committed(&mut self, id: u64) {
+    fn assignment_committed(&mut self, id: AttemptId) {
         self.commits.proposed.remove(&id);
         let live = self.attempts.update(id, |attempt| {
             attempt.phase = Phase::Live;
@@ -368,7 +368,7 @@
 
     /// Drops proposals that are in no transaction. A gang is placed whole or not at all:
     /// what is committed of it is stopped, and the rest is withdrawn with them.
-    pub(super) fn withdraw(&mut self, ids: &[u64], now: f64) {
+    pub(super) fn withdraw(&mut self, ids: &[AttemptId], now: f64) {
         let mut gangs = BTreeSet::new();
         for id in ids {
             let Some(job_ix) = self.attempts.get(*id).map(|attempt| attempt.job) else { continue };
@@ -384,7 +384,7 @@
         }
     }
 
-    fn withdraw_one(&mut self, id: u64, now: f64) {
+    fn withdraw_one(&mut self, id: AttemptId, now: f64) {
         let proposed = self.attempts.get(id).is_some_and(|a| a.phase == Phase::Proposed);
         let sent = self.commits.sent.as_ref().is_some_and(|sent| sent.proposed.contains(&id));
         if proposed && !sent {
--- a/crates/gladekeel-controller/src/leader/commit/draft.rs
+++ b/crates/gladekeel-controller/src/leader/commit/draft.rs
@@ -1,6 +1,6 @@
 //! Putting the next transaction together: what goes into it, and into which segments.
 
-use super::{Sent, SentSegment};
+use super::{AttemptId, Sent, SentSegment};
 use crate::{
     keys,
     leader::{Leader, Phase},
@@ -118,7 +118,7 @@
             let Some((writer, segment)) = draft.segment(log::row_bytes(job, "")) else {
                 return false;
             };
-            writer.release(job, attempt.index, *id, end);
+            writer.release(job, attempt.index, id.logged(), end);
             if end != log::End::Again {
                 let chunk = (attempt.job, attempt.index / keys::CHUNK);
                 if segment.chunks.last() != Some(&chunk) {
@@ -146,14 +146,14 @@
         true
     }
 
-    fn draft_assigned(&self, draft: &mut Draft, id: u64) -> bool {
+    fn draft_assigned(&self, draft: &mut Draft, id: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get(id) else { return true };
         let job = self.job_names.name(attempt.job);
         let machine = self.cluster.machine_names.name(attempt.machine);
         let Some((writer, segment)) = draft.segment(log::row_bytes(job, machine)) else {
             return false;
         };
-        writer.assign(job, attempt.index, machine, attempt.session, id);
+        writer.assign(job, attempt.index, machine, attempt.session, id.logged());
         segment.attempts.push(id);
         true
     }
@@ -219,7 +219,7 @@
     }
 
     /// Whether a segment is the newest one that assigns an attempt.
-    pub(super) fn assigns(&self, seq: u64, id: u64) -> bool {
+    pub(super) fn assigns(&self, seq: u64, id: AttemptId) -> bool {
         self.attempts.get(id).is_some_and(|attempt| attempt.logged == seq)
     }
 
--- a/crates/gladekeel-controller/src/leader/direct.rs
+++ b/crates/gladekeel-controller/src/leader/direct.rs
@@ -4,7 +4,7 @@
 //! while token and session match. Until that is settled its attempt is neither
 //! released for being absent nor forgotten; a new token settles it for good.
 
-use super::{Attempt, Leader, Machine, StopReason, machine::DeletionReason};
+use super::{Attempt, AttemptId, Leader, Machine, StopReason, machine::DeletionReason};
 use gladekeel_wire::{
     TaskId,
     worker::{Command, Direct, Report, TaskState},
@@ -68,7 +68,7 @@
     pub body: Option<Direct>,
     token: u64,
     machine: u32,
-    starts: Vec<u64>,
+    starts: Vec<AttemptId>,
 }
 
 /// What came of it.
@@ -86,7 +86,7 @@
 
 impl Machine {
     /// Whether a `run` of this attempt that was sent directly may still arrive.
-    pub(super) fn may_still_start(&self, attempt: u64) -> bool {
+    pub(super) fn may_still_start(&self, attempt: AttemptId) -> bool {
         self.open_starts.contains_key(&attempt)
     }
 }
@@ -159,7 +159,7 @@
     }
 
     /// `halt` for an attempt that is to stop and has not been told.
-    fn direct_stop(&mut self, id: u64, session: u64) -> Option<Command> {
+    fn direct_stop(&mut self, id: AttemptId, session: u64) -> Option<Command> {
         let attempt = self.attempts.get(id).filter(|attempt| attempt.is_live_in(session))?;
         let why = attempt.stop?;
         let is_there = match attempt.seen? {
@@ -179,7 +179,7 @@
 
     /// `run` for an attempt that is committed, a gang's with all of its others, and has not
     /// been sent.
-    fn direct_start(&mut self, id: u64, session: u64) -> Option<Command> {
+    fn direct_start(&mut self, id: AttemptId, session: u64) -> Option<Command> {
         let attempt = self.attempts.get(id).filter(|attempt| attempt.is_live_in(session))?;
         if attempt.stop.is_some() || attempt.seen.is_some() || attempt.sent {
             return None;
--- a/crates/gladekeel-controller/src/leader/exits.rs
+++ b/crates/gladekeel-controller/src/leader/exits.rs
@@ -1,6 +1,6 @@
 //! What the end of a task means for its job, its machine and its gang.
 
-use super::{Leader, StopReason, attempt::Outcome, machine::DeletionReason};
+use super::{AttemptId, Leader, StopReason, attempt::Outcome, machine::DeletionReason};
 use gladekeel_wire::job::Kind;
 use gladekeel_wire::worker::{Cause, TaskReport};
 
@@ -38,7 +38,7 @@
 
 impl Leader {
     /// Applies the end of a task that its machine has reported.
-    pub(super) fn on_exit(&mut self, now: f64, id: u64, reported: &TaskReport) {
+    pub(super) fn on_exit(&mut self, now: f64, id: AttemptId, reported: &TaskReport) {
         let Some(attempt) = self.attempts.get(id) else { return };
         let ended = Ended {
             job: attempt.job,
--- a/crates/gladekeel-controller/src/leader/gangs.rs
+++ b/crates/gladekeel-controller/src/leader/gangs.rs
@@ -1,6 +1,6 @@
 //! Gangs: their tasks share an attempt number, and are stopped together.
 
-use super::{Job, Leader, StopReason};
+use super::{AttemptId, Job, Leader, StopReason};
 use gladekeel_wire::worker::TaskReport;
 
 /// How long a place is looked for to replace a task of a gang that waits.
@@ -48,20 +48,20 @@
 
     /// The number under which a worker knows an attempt. The tasks of a gang share
     /// one: that is how they find one another.
-    pub(super) fn reported_attempt(&self, id: u64) -> u64 {
-        let Some(attempt) = self.attempts.get(id) else { return id };
+    pub(super) fn reported_attempt(&self, id: AttemptId) -> u64 {
+        let Some(attempt) = self.attempts.get(id) else { return id.logged() };
         let gang = self.jobs.get(&attempt.job).is_some_and(Job::is_gang);
-        if gang { id - u64::from(attempt.index) } else { id }
+        if gang { id.gang_number(attempt.index) } else { id.logged() }
     }
 
     /// The attempt that a worker speaks of.
-    pub(super) fn attempt_id(&self, reported: &TaskReport) -> u64 {
+    pub(super) fn attempt_id(&self, reported: &TaskReport) -> AttemptId {
         let job = self.job_names.get(&reported.task.job).and_then(|ix| self.jobs.get(&ix));
         match job {
             Some(job) if job.is_gang() => {
-                reported.attempt.saturating_add(u64::from(reported.task.index))
+                AttemptId::of_gang_task(reported.attempt, reported.task.index)
             }
-            _ => reported.attempt,
+            _ => AttemptId::from_logged(reported.attempt),
         }
     }
 }
--- a/crates/gladekeel-controller/src/leader/machine.rs
+++ b/crates/gladekeel-controller/src/leader/machine.rs
@@ -1,5 +1,6 @@
 //! A machine: what the cloud, its worker and the log say of it.
 
+use super::AttemptId;
 use gladekeel_sched::Room;
 use gladekeel_wire::{cloud::MachineState, worker::Command};
 use std::collections::{BTreeMap, BTreeSet};
@@ -112,7 +113,7 @@
     /// Since when it has no attempt.
     pub idle_since: f64,
     /// Attempts on it.
-    pub attempts: BTreeSet<u64>,
+    pub attempts: BTreeSet<AttemptId>,
     /// What they take.
     pub used: Room,
     /// What the last answer to its report was to bring about.
@@ -131,7 +132,7 @@
     pub confirmed: bool,
     /// Attempts whose `run` was sent directly and may still arrive; since when there
     /// has been no answer, once that is so.
-    pub open_starts: BTreeMap<u64, Option<f64>>,
+    pub open_starts: BTreeMap<AttemptId, Option<f64>>,
     /// Whether a direct command is under way.
     pub direct_in_flight: bool,
     /// Images that it should have, oldest use first, with sizes.
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -5,6 +5,7 @@
 //! follows the rules of `docs/safety.md`.
 
 mod attempt;
+mod attempt_id;
 mod attempts;
 mod catalog;
 mod cloud_calls;
@@ -30,6 +31,7 @@
 mod timers;
 
 pub use attempt::{Attempt, Phase, StopReason};
+pub use attempt_id::AttemptId;
 pub use direct::{DirectCall, DirectOutcome};
 pub use job::Job;
 pub use machine::Machine;
--- a/crates/gladekeel-controller/src/leader/preemption.rs
+++ b/crates/gladekeel-controller/src/leader/preemption.rs
@@ -1,6 +1,6 @@
 //! Stopping tasks: for others with a better claim, or because they are slow.
 
-use super::{Attempt, Job, Leader, Phase, StopReason, rounds::RoundInput};
+use super::{Attempt, AttemptId, Job, Leader, Phase, StopReason, rounds::RoundInput};
 use crate::options::Options;
 use gladekeel_sched::{
     preempt::{Victim, Victims},
@@ -144,7 +144,7 @@
         options: &Options,
         input: &mut RoundInput,
         tasks: Vec<Victim>,
-    ) -> Vec<u64> {
+    ) -> Vec<AttemptId> {
         let most = (input.machines.len() / STOPPING).max(LEAST_STOPPED);
         let mut victims = Victims::new(input.machines.len(), tasks);
         let (mut stopped, mut gangs) = (Vec::new(), 0);
@@ -176,7 +176,7 @@
                 self.timers.request_round();
             }
         }
-        stopped
+        stopped.into_iter().map(AttemptId::from_logged).collect()
     }
 
     /// Stops one gang as a whole, for the first job that has waited for long enough.
@@ -195,7 +195,8 @@
         });
         let Some(claimant) = claimant else { return };
         let stopped = victims.stop_for(&mut input.round, claimant, 1, false);
-        let attempt = stopped.first().and_then(|id| self.attempts.get(*id));
+        let stopped = stopped.first().copied().map(AttemptId::from_logged);
+        let attempt = stopped.and_then(|id| self.attempts.get(id));
         let Some(ix) = attempt.map(|attempt| attempt.job) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
         self.cluster.counts.preemptions += u64::from(job.spec.tasks);
@@ -205,7 +206,7 @@
     }
 
     /// Stops one task for another.
-    fn preempt(&mut self, id: u64) {
+    fn preempt(&mut self, id: AttemptId) {
         self.attempts.update(id, |attempt| attempt.stop = Some(StopReason::Preempted));
         let Some(attempt) = self.attempts.get(id) else { return };
         self.direct.wanted.insert(attempt.machine);
@@ -220,13 +221,13 @@
 
 /// A task as one that could be stopped. What it has saved is not lost; work counts by the
 /// CPUs that it takes.
-fn victim(now: f64, id: u64, attempt: &Attempt, job: &Job, machine: usize) -> Victim {
+fn victim(now: f64, id: AttemptId, attempt: &Attempt, job: &Job, machine: usize) -> Victim {
     let ran_s = attempt.run_since.map_or(0.0, |since| now - since);
     let checkpoint_s = job.spec.checkpoint_s;
     let saves = checkpoint_s > 0.0;
     let lost_s = if saves { ran_s % checkpoint_s } else { ran_s };
     Victim {
-        id,
+        id: id.logged(),
         machine,
         team: job.team,
         priority: job.spec.priority as u8,
--- a/crates/gladekeel-controller/src/leader/release.rs
+++ b/crates/gladekeel-controller/src/leader/release.rs
@@ -1,10 +1,10 @@
 //! The end of an attempt: proven to be off its machine, then committed, then forgotten.
 
-use super::{Leader, Phase, StopReason, attempt::Outcome};
+use super::{AttemptId, Leader, Phase, StopReason, attempt::Outcome};
 
 impl Leader {
     /// Marks an attempt as off its machine. It keeps its room until that is committed.
-    pub(super) fn release(&mut self, id: u64, outcome: Outcome) {
+    pub(super) fn release(&mut self, id: AttemptId, outcome: Outcome) {
         let released = self.attempts.update(id, |attempt| {
             let live = attempt.phase == Phase::Live;
             if live {
@@ -40,7 +40,7 @@
     }
 
     /// The room of an attempt is free: its release is committed, or it never was.
-    pub(super) fn free(&mut self, id: u64, outcome: Outcome, now: f64) {
+    pub(super) fn free(&mut self, id: AttemptId, outcome: Outcome, now: f64) {
         let Some(attempt) = self.attempts.remove(id) else { return };
         if let Some(machine) = self.cluster.machines.get_mut(&attempt.machine) {
             machine.attempts.remove(&id);
--- a/crates/gladekeel-controller/src/leader/replay.rs
+++ b/crates/gladekeel-controller/src/leader/replay.rs
@@ -1,12 +1,12 @@
 //! Rebuilding what is on which machine from the log, when a node begins to lead.
 
-use super::{Attempt, Job, Leader, Machine, Phase, StopReason, attempt::Outcome};
+use super::{Attempt, AttemptId, Job, Leader, Machine, Phase, StopReason, attempt::Outcome};
 use crate::{keys::CHUNK, log};
 use gladekeel_wire::JobId;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Attempts that the log assigns and does not release, with the segment that assigns them.
-type LiveAttempts = BTreeMap<u64, (log::Assigned, u64)>;
+type LiveAttempts = BTreeMap<AttemptId, (log::Assigned, u64)>;
 
 impl Leader {
     /// Replays the log, oldest segment first.
@@ -37,11 +37,12 @@
             chunks.push((ix, progress.chunk));
         }
         for assigned in segment.assigned {
-            attempts.push(assigned.attempt);
-            live.insert(assigned.attempt, (assigned, segment.seq));
+            let id = AttemptId::from_logged(assigned.attempt);
+            attempts.push(id);
+            live.insert(id, (assigned, segment.seq));
         }
         for released in segment.released {
-            live.remove(&released.attempt);
+            live.remove(&AttemptId::from_logged(released.attempt));
             let Some((ix, job)) = self.job_named(&released.job) else { continue };
             let bits = match released.end {
                 Outcome::Done => &mut job.done,
@@ -118,7 +119,7 @@
         }
     }
 
-    fn restore(&mut self, now: f64, job_ix: u32, id: u64, row: log::Assigned, seq: u64) {
+    fn restore(&mut self, now: f64, job_ix: u32, id: AttemptId, row: log::Assigned, seq: u64) {
         let machine_ix = self.cluster.machine_names.intern(&row.machine);
         let machine = self
             .cluster
--- a/crates/gladekeel-controller/src/leader/report.rs
+++ b/crates/gladekeel-controller/src/leader/report.rs
@@ -1,6 +1,8 @@
 //! Workers' reports and the commands that answer them.
 
-use super::{Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited};
+use super::{
+    AttemptId, Job, Leader, Machine, Phase, StopReason, attempt::Outcome, machine::Awaited,
+};
 use gladekeel_wire::TaskId;
 use gladekeel_wire::worker::{Command, Report, ReportAnswer, TaskReport, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,7 +92,7 @@
         // of older tokens are dead; and since the worker has one report in flight
         // and takes answers in turn, so are our own earlier answers.
         let settled = report.token == self.token;
-        let mut reported: BTreeMap<u64, &TaskReport> =
+        let mut reported: BTreeMap<AttemptId, &TaskReport> =
             report.tasks.iter().map(|task| (self.attempt_id(task), task)).collect();
         self.check_answer_was_heard(ix, settled, &reported);
         let here = self.cluster.machines.get(&ix).map(|m| m.attempts.clone()).unwrap_or_default();
@@ -133,7 +135,7 @@
         &mut self,
         ix: u32,
         settled: bool,
-        reported: &BTreeMap<u64, &TaskReport>,
+        reported: &BTreeMap<AttemptId, &TaskReport>,
     ) {
         let Some(machine) = self.cluster.machines.get_mut(&ix) else { return };
         let awaited = std::mem::take(&mut machine.awaited);
@@ -150,7 +152,13 @@
 
     /// Goes on with an attempt that counts as on a machine, by what the machine's report
     /// shows of it.
-    fn on_task(&mut self, now: f64, id: u64, seen: TaskSeen<'_>, commands: &mut Vec<Command>) {
+    fn on_task(
+        &mut self,
+        now: f64,
+        id: AttemptId,
+        seen: TaskSeen<'_>,
+        commands: &mut Vec<Command>,
+    ) {
         let Some(attempt) = self.attempts.get(id) else { return };
         if attempt.phase != Phase::Live {
             return;
@@ -169,7 +177,7 @@
     }
 
     /// Whether `run` of an attempt that is not on its machine may be sent now.
-    fn may_start_now(&self, id: u64, may_start: bool) -> bool {
+    fn may_start_now(&self, id: AttemptId, may_start: bool) -> bool {
         let Some(attempt) = self.attempts.get(id) else { return false };
         // A gang whose commit takes several transactions is sent out once all are made.
         let uncommitted = self.jobs.get(&attempt.job).is_some_and(Job::is_gang)
@@ -184,7 +192,7 @@
 
     /// Whether an attempt that a settled report lacks is to end, and no command can still
     /// start it.
-    fn is_gone_for_good(&self, id: u64) -> bool {
+    fn is_gone_for_good(&self, id: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get(id) else { return false };
         let machine = self.cluster.machines.get(&attempt.machine);
         let to_end = attempt.stop.is_some()
@@ -206,7 +214,7 @@
     /// Repeats `halt` for an attempt that is to stop, unless it is saving and may.
     fn go_on_stopping(
         &mut self,
-        id: u64,
+        id: AttemptId,
         task: TaskId,
         state: TaskState,
         commands: &mut Vec<Command>,
@@ -227,7 +235,7 @@
     }
 
     /// Applies a task's reported state; returns whether the task has ended.
-    pub(super) fn on_reported(&mut self, now: f64, id: u64, reported: &TaskReport) -> bool {
+    pub(super) fn on_reported(&mut self, now: f64, id: AttemptId, reported: &TaskReport) -> bool {
         let live = self.attempts.update(id, |attempt| {
             let live = attempt.phase == Phase::Live;
             if live {
@@ -270,7 +278,7 @@
     fn on_unassigned_task(
         &mut self,
         machine: u32,
-        attempt: u64,
+        attempt: AttemptId,
         task: &TaskReport,
         settled: bool,
         commands: &mut Vec<Command>,
--- a/crates/gladekeel-controller/src/leader/rounds.rs
+++ b/crates/gladekeel-controller/src/leader/rounds.rs
@@ -1,6 +1,6 @@
 //! A round of placements.
 
-use super::{Attempt, Job, Leader, Phase};
+use super::{Attempt, AttemptId, Job, Leader, Phase};
 use crate::options::Options;
 use gladekeel_sched::place;
 use gladekeel_wire::job::Kind;
@@ -172,9 +172,14 @@
             return;
         };
         let Some(index) = job.next_pending() else { return };
-        let id = gang.map_or(self.next_attempt, |first| first + u64::from(index));
-        self.next_attempt += u64::from(gang.is_none());
-        job.number = gang.unwrap_or(id);
+        let number = gang.unwrap_or(self.next_attempt);
+        let id = if gang.is_some() {
+            AttemptId::of_gang_task(number, index)
+        } else {
+            self.next_attempt += 1;
+            AttemptId::from_logged(number)
+        };
+        job.number = number;
         job.count_zone(machine.zone, 1);
         if job.pending.is_empty() {
             job.waits_since = None;
