--- a/crates/gladekeel-controller/src/admin.rs
+++ b/crates/gladekeel-controller/src/admin.rs
@@ -160,7 +160,7 @@
         // The settings that are not named stay as they are in this node's copy, so that has
         // to be the version which the operator has read.
         if wanted.version != self.world.options_version {
-            self.sync_wanted = true;
+            self.readings.wanted = true;
             return self.reply(now, id, Reply::error(409, CHANGED_MEANWHILE));
         }
         let values = options.values();
@@ -189,7 +189,7 @@
             }
             _ => Reply::later(503, 1, "the state service refuses"),
         };
-        self.sync_wanted = true;
+        self.readings.wanted = true;
         self.reply(now, id, reply);
     }
 
--- a/crates/gladekeel-controller/src/metrics.rs
+++ b/crates/gladekeel-controller/src/metrics.rs
@@ -152,7 +152,7 @@
         out.counter("state_requests_total", "Requests to the state service.", requests);
         let writes = self.state_writes as f64;
         out.counter("state_writes_total", "Puts and deletes asked for.", writes);
-        let waiting = (self.waiting.len() + self.writes.len()) as f64;
+        let waiting = self.users.len() as f64;
         out.gauge("waiting_requests", "Requests that wait for the store.", waiting);
     }
 
--- /dev/null
+++ b/crates/gladekeel-controller/src/node/events.rs
@@ -0,0 +1,108 @@
+//! What goes into a node and what comes out of it.
+
+use crate::{
+    api::Reply,
+    cloud::{CloudCall, CloudOutcome},
+    leader::{DirectCall, DirectOutcome},
+};
+use gladekeel_store::{Call, Outcome};
+use gladekeel_wire::mesh::{Header, Kind};
+
+/// Names a request of a user or worker until it is answered.
+pub type RequestId = u64;
+/// Names a call of this node until its answer is there.
+pub type CallId = u64;
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A request arrived.
+    Http {
+        /// To be named in the reply.
+        id: RequestId,
+        /// Its method.
+        method: String,
+        /// Its path.
+        path: String,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// A call to the state service ended.
+    State {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: Outcome,
+    },
+    /// A call to the cloud ended.
+    Cloud {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: CloudOutcome,
+    },
+    /// A direct command to a worker ended.
+    Direct {
+        /// The call.
+        call: CallId,
+        /// What came of it.
+        outcome: DirectOutcome,
+    },
+    /// A frame from another controller.
+    Mesh {
+        /// Its head.
+        header: Header,
+        /// What it is for.
+        kind: Kind,
+        /// Its payload.
+        payload: Vec<u8>,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Debug)]
+pub enum Action {
+    /// Answer a request.
+    Reply {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Call the state service.
+    State {
+        /// To be named in the event.
+        call: CallId,
+        /// The call.
+        request: Call,
+        /// How long to wait.
+        limit_s: f64,
+    },
+    /// Call the cloud.
+    Cloud {
+        /// To be named in the event.
+        call: CallId,
+        /// The call.
+        request: CloudCall,
+        /// How long to wait.
+        limit_s: f64,
+    },
+    /// Send commands to a worker.
+    Direct {
+        /// To be named in the event.
+        call: CallId,
+        /// Where to and what.
+        request: DirectCall,
+        /// How long to wait.
+        limit_s: f64,
+    },
+    /// Send a frame to another controller: its place among the settings' peers.
+    Mesh {
+        /// The peer.
+        peer: usize,
+        /// The frame.
+        frame: Vec<u8>,
+    },
+}
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -1,9 +1,15 @@
 //! A controller node without I/O.
 
+mod budgets;
+mod events;
 mod peers;
+mod queue;
+mod readings;
 mod store;
 mod users;
 
+pub use events::{Action, CallId, Event, RequestId};
+
 use crate::{
     admin::AdminChange,
     api::Route,
@@ -11,37 +17,32 @@
     cloud::{CloudCall, CloudOutcome},
     election::Election,
     keys::{self, LeaderRecord},
-    leader::{ClusterState, DirectCall, DirectOutcome, Leader},
+    leader::{ClusterState, DirectCall, Leader},
     metrics::{Latencies, ProcessMetrics},
     options::Options,
     sockets::Sockets,
     world::World,
 };
-use gladekeel_store::{Bucket, Call, Outcome, Replica};
+use budgets::Budgets;
+use gladekeel_store::{Call, Replica};
 use gladekeel_wire::{
-    JobId,
-    job::JobSpec,
-    mesh::{Header, Hello, Kind, LEVEL},
+    mesh::{Hello, Kind, LEVEL},
     settings::{Params, Settings},
     state::Row,
     worker::{Report, ReportAnswer},
 };
+pub(crate) use queue::Then;
+use queue::{UserQueue, UserWrite, Waiter};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use readings::Readings;
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 use zerocopy::IntoBytes;
 
 pub use crate::api::Reply;
 
-/// Names a request of a user or worker until it is answered.
-pub type RequestId = u64;
-/// Names a call of this node until its answer is there.
-pub type CallId = u64;
-
-/// Users' requests that may wait at once; beyond it they are told to come back.
-const MAX_WAITING: usize = 400;
 /// How long a user's request waits for the store at most; users give up on a poll after 2 s.
 const WAIT_S: f64 = 1.5;
 /// How long a reading of the store and the like may take.
@@ -55,8 +56,6 @@
 const CONFIRM_S: f64 = 0.5;
 /// A reading that takes longer than this is overtaken by another one.
 const OVERTAKE_S: f64 = 0.3;
-/// Readings without an answer in a row, after which the service counts as out of reach.
-const DOWN: u32 = 2;
 /// How long a call to the cloud may take.
 const CLOUD_S: f64 = 5.0;
 /// Calls to workers that may be under way at once, besides those that hang. A round may
@@ -87,100 +86,6 @@
 /// How often counts are told to the other controllers.
 const COUNTS_S: f64 = 1.0;
 
-/// Something that happened.
-#[derive(Debug)]
-pub enum Event {
-    /// A request arrived.
-    Http {
-        /// To be named in the reply.
-        id: RequestId,
-        /// Its method.
-        method: String,
-        /// Its path.
-        path: String,
-        /// Its body.
-        body: Vec<u8>,
-    },
-    /// A call to the state service ended.
-    State {
-        /// The call.
-        call: CallId,
-        /// What came of it.
-        outcome: Outcome,
-    },
-    /// A call to the cloud ended.
-    Cloud {
-        /// The call.
-        call: CallId,
-        /// What came of it.
-        outcome: CloudOutcome,
-    },
-    /// A direct command to a worker ended.
-    Direct {
-        /// The call.
-        call: CallId,
-        /// What came of it.
-        outcome: DirectOutcome,
-    },
-    /// A frame from another controller.
-    Mesh {
-        /// Its head.
-        header: Header,
-        /// What it is for.
-        kind: Kind,
-        /// Its payload.
-        payload: Vec<u8>,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// Something to be done.
-#[derive(Debug)]
-pub enum Action {
-    /// Answer a request.
-    Reply {
-        /// The request.
-        id: RequestId,
-        /// The answer.
-        reply: Reply,
-    },
-    /// Call the state service.
-    State {
-        /// To be named in the event.
-        call: CallId,
-        /// The call.
-        request: Call,
-        /// How long to wait.
-        limit_s: f64,
-    },
-    /// Call the cloud.
-    Cloud {
-        /// To be named in the event.
-        call: CallId,
-        /// The call.
-        request: CloudCall,
-        /// How long to wait.
-        limit_s: f64,
-    },
-    /// Send commands to a worker.
-    Direct {
-        /// To be named in the event.
-        call: CallId,
-        /// Where to and what.
-        request: DirectCall,
-        /// How long to wait.
-        limit_s: f64,
-    },
-    /// Send a frame to another controller: its place among the settings' peers.
-    Mesh {
-        /// The peer.
-        peer: usize,
-        /// The frame.
-        frame: Vec<u8>,
-    },
-}
-
 /// Why the state service was called.
 #[derive(Debug)]
 enum Purpose {
@@ -207,45 +112,6 @@
     cluster: Option<ClusterState>,
 }
 
-/// A change that a user asked for.
-#[derive(Debug)]
-pub(crate) struct UserWrite {
-    request: RequestId,
-    id: JobId,
-    /// The job to create, or none to cancel.
-    spec: Option<Rc<JobSpec>>,
-    since: f64,
-    tries: u32,
-}
-
-/// A request that waits for the store to be read.
-#[derive(Debug)]
-pub(crate) struct Waiter {
-    request: RequestId,
-    id: Option<JobId>,
-    since: f64,
-    /// A reading that was sent at this time or later will do.
-    from: f64,
-    then: Then,
-}
-
-/// What follows the reading.
-#[derive(Debug)]
-pub(crate) enum Then {
-    /// Answer an operator with the settings.
-    Settings,
-    /// Answer with the job's state, or 404.
-    Poll,
-    /// Answer with the job's state, or create it.
-    Create { spec: Rc<JobSpec>, tries: u32 },
-    /// Answer with the job's state, or why it is refused.
-    Refuse(u16, String),
-    /// Cancel it.
-    Cancel { tries: u32 },
-    /// Answer with the job's state, or 503: the change had no answer.
-    Unknown,
-}
-
 /// A controller node.
 pub struct Node {
     pub(crate) settings: Rc<Settings>,
@@ -267,19 +133,8 @@
     /// When the last answered reading of the store was sent.
     pub(crate) contact: Option<f64>,
     state_down: bool,
-    /// Readings under way, and those that had no answer since the last that had.
-    syncs: u32,
-    lost_syncs: u32,
-    pub(crate) sync_wanted: bool,
-    sync_sent: f64,
-    sync_not_before: f64,
-    pub(crate) waiting: Vec<Waiter>,
-    pub(crate) writes: VecDeque<UserWrite>,
-    /// Transactions of users under way.
-    writes_flying: usize,
-    writes_not_before: f64,
-    /// Users' changes in one transaction at most.
-    writes_at_once: usize,
+    pub(crate) readings: Readings,
+    pub(crate) users: UserQueue,
     election: Election,
     pub(crate) leader: Option<Leader>,
     takeover: Option<Takeover>,
@@ -291,10 +146,7 @@
     relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
     /// Calls to workers that may be under way at once.
     max_direct: usize,
-    requests: Bucket,
-    own_writes: Bucket,
-    leader_writes: Bucket,
-    cloud: Bucket,
+    pub(crate) budgets: Budgets,
     resigned: u32,
     hello_at: f64,
     counts_at: f64,
@@ -340,8 +192,6 @@
         names.push(&settings.node);
         names.sort_unstable();
         let place = names.iter().position(|name| *name == settings.node).unwrap_or(0) as u32;
-        let nodes = f64::from(params.count.max(1));
-        let share = params.state.rps / nodes;
         Node {
             record: LeaderRecord { node: settings.node.clone(), run },
             place,
@@ -362,16 +212,8 @@
             next_call: 0,
             contact: None,
             state_down: false,
-            syncs: 0,
-            lost_syncs: 0,
-            sync_wanted: true,
-            sync_sent: -1.0,
-            sync_not_before: 0.0,
-            waiting: Vec::new(),
-            writes: VecDeque::new(),
-            writes_flying: 0,
-            writes_not_before: 0.0,
-            writes_at_once: params.state.txn_ops,
+            readings: Readings::default(),
+            users: UserQueue::new(params.state.txn_ops),
             election: Election::default(),
             leader: None,
             takeover: None,
@@ -379,17 +221,7 @@
             report_router: ReportRouter::default(),
             relays: BTreeMap::new(),
             max_direct: Sockets::of(&params.limits).calls,
-            requests: Bucket::new(share * 0.6, share * 0.4),
-            // The leader writes what has changed in few wide commits. What users ask for
-            // comes in clusters, and after a crash all of it at the first node that is
-            // back: no node keeps to an equal part. If several write at once, the
-            // service says so, and each waits.
-            own_writes: Bucket::new(
-                (params.state.write_rps * 0.3).max(0.5),
-                (params.state.write_rps * 0.3).max(1.0),
-            ),
-            leader_writes: Bucket::new(params.state.write_rps * 0.75, params.state.write_rps * 0.5),
-            cloud: Bucket::new(params.cloud.rps * 0.8, (params.cloud.rps * 0.8).max(1.0)),
+            budgets: Budgets::new(&params),
             resigned: 0,
             hello_at: 0.0,
             counts_at: 0.0,
@@ -538,17 +370,8 @@
     }
 
     fn on_tick(&mut self, now: f64) {
-        let late = |waiter: &Waiter| now - waiter.since >= WAIT_S;
-        let (gone, waiting): (Vec<Waiter>, Vec<Waiter>) =
-            std::mem::take(&mut self.waiting).into_iter().partition(late);
-        self.waiting = waiting;
-        for waiter in gone {
-            self.later(now, waiter.request, "the state service is slow");
-        }
-        while self.writes.front().is_some_and(|write| now - write.since >= WAIT_S) {
-            if let Some(write) = self.writes.pop_front() {
-                self.later(now, write.request, "the state service is slow");
-            }
+        for request in self.users.take_older(now - WAIT_S) {
+            self.later(now, request, "the state service is slow");
         }
         while let Some((call, (id, since, answer))) = self.relays.pop_first() {
             if now - since < RELAY_S {
@@ -615,7 +438,7 @@
             self.resigned += 1;
             self.leader = None;
             self.call_state(now, Purpose::Election, call);
-            self.sync_wanted = true;
+            self.readings.wanted = true;
         }
     }
 
@@ -645,15 +468,15 @@
         self.send_confirmation(now);
         if let Some(leader) = &mut self.leader {
             let token = leader.token;
-            if let Some(txn) = leader.next_commit(now, &mut self.leader_writes) {
+            if let Some(txn) = leader.next_commit(now, &mut self.budgets.leader_writes) {
                 self.call_state(now, Purpose::Lead(token), Call::Commit(txn));
             }
         }
         while let Some(leader) = &mut self.leader
-            && self.cloud.has(now, 1.0)
+            && self.budgets.cloud.has(now, 1.0)
         {
             let Some(request) = leader.next_cloud(now) else { break };
-            self.cloud.take(now, 1.0);
+            self.budgets.cloud.take(now, 1.0);
             let call = self.next_call;
             self.next_call += 1;
             self.cloud_calls.insert(call, (self.leadership, request.clone()));
--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -40,7 +40,7 @@
         let Some(name) = self.node_at(header.from.get()) else { return };
         let Some(peer) = self.peers.iter().position(|peer| peer.name == name) else { return };
         match kind {
-            Kind::Nudge => self.sync_wanted = true,
+            Kind::Nudge => self.readings.wanted = true,
             Kind::Hello => self.on_hello(now, peer, header, payload),
             Kind::Relay => self.on_relay(now, peer, header, payload),
             Kind::Relayed => self.on_relayed(now, header, payload),
@@ -73,7 +73,7 @@
         if self.leader.as_ref().is_some_and(|leader| leader.token < hello.leads.get()) {
             tracing::warn!(by = peer.name, "another node leads: no longer leading");
             self.leader = None;
-            self.sync_wanted = true;
+            self.readings.wanted = true;
         }
     }
 
@@ -120,7 +120,7 @@
         for id in mesh::read_jobs(payload).unwrap_or_default() {
             self.call_off(&id, after);
         }
-        self.sync_wanted = true;
+        self.readings.wanted = true;
     }
 
     /// A job's cancellation is committed, some time after `after`; the store has not told
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -1,7 +1,7 @@
 //! Readings of the state service, and who leads by them.
 
 use super::{
-    Action, CHANGE_S, CONFIRM_S, CallId, DOWN, Node, OVERTAKE_S, Purpose, STATE_S, Takeover, Waiter,
+    Action, CHANGE_S, CONFIRM_S, CallId, Node, OVERTAKE_S, Purpose, STATE_S, Takeover, Waiter,
 };
 use crate::{
     election::Seen,
@@ -35,26 +35,26 @@
             Purpose::Lead(token) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
                     if outcome == Outcome::Busy {
-                        self.leader_writes.drain(now);
+                        self.budgets.leader_writes.drain(now);
                     }
-                    self.sync_wanted |= leader.commit_answered(now, &outcome);
+                    self.readings.wanted |= leader.commit_answered(now, &outcome);
                 }
             }
             Purpose::Log(token) => self.on_log(now, token, outcome),
             Purpose::Confirm(token) => self.on_confirm(now, token, outcome),
             Purpose::Election => {
-                self.sync_wanted |= self.election.answered(now, sent_at, &request, &outcome);
+                self.readings.wanted |= self.election.answered(now, sent_at, &request, &outcome);
             }
         }
     }
 
     pub(super) fn on_read(&mut self, now: f64, sent_at: f64, outcome: Outcome) {
-        self.syncs -= 1;
+        self.readings.in_flight -= 1;
         match outcome {
             Outcome::Rows(rows) => {
                 let changes = self.replica.page(rows);
                 self.apply(now, &changes);
-                self.sync_wanted = true;
+                self.readings.wanted = true;
             }
             Outcome::Events(events) => {
                 let changes = self.replica.follow(events);
@@ -64,13 +64,13 @@
                 }
                 self.contact = Some(self.contact.map_or(sent_at, |at| at.max(sent_at)));
                 self.state_down = false;
-                self.lost_syncs = 0;
+                self.readings.answered();
                 self.lead_or_follow(now);
                 // Everyone who came before this reading was sent is served by it.
-                let (served, waiting) = std::mem::take(&mut self.waiting)
+                let (served, waiting) = std::mem::take(&mut self.users.waiting)
                     .into_iter()
                     .partition(|waiter: &Waiter| waiter.from <= sent_at);
-                self.waiting = waiting;
+                self.users.waiting = waiting;
                 self.serve(now, served);
                 self.answer_written(now);
             }
@@ -79,26 +79,22 @@
                 if self.replica.revision().is_some() {
                     self.replica.reload();
                 }
-                self.sync_wanted = true;
+                self.readings.wanted = true;
             }
             Outcome::Busy => {
-                self.sync_not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
-                self.sync_wanted = true;
+                self.readings.not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
+                self.readings.wanted = true;
             }
             outcome => {
                 // A slow answer is not an outage; a refusal, or several in a row, is.
-                self.lost_syncs += 1;
-                self.sync_wanted = true;
-                if outcome == Outcome::Unknown && self.lost_syncs < DOWN {
+                let several = self.readings.lost();
+                if outcome == Outcome::Unknown && !several {
                     return;
                 }
                 self.state_down = true;
-                self.sync_not_before = now + 0.25;
-                for waiter in std::mem::take(&mut self.waiting) {
-                    self.later(now, waiter.request, "the state service cannot be reached");
-                }
-                for write in std::mem::take(&mut self.writes) {
-                    self.later(now, write.request, "the state service cannot be reached");
+                self.readings.not_before = now + 0.25;
+                for request in self.users.take_all() {
+                    self.later(now, request, "the state service cannot be reached");
                 }
             }
         }
@@ -217,7 +213,7 @@
         let made = rows.items.iter().find(|row| row.key == *key && row.value == text.as_str());
         if let Some(version) = made.map(|row| row.version) {
             self.calls.remove(&call);
-            self.sync_wanted |= leader.commit_answered(now, &Outcome::Committed(version));
+            self.readings.wanted |= leader.commit_answered(now, &Outcome::Committed(version));
         }
     }
 
@@ -265,25 +261,23 @@
     }
 
     pub(super) fn send_reading(&mut self, now: f64) {
-        if now < self.sync_not_before {
+        if now < self.readings.not_before {
             return;
         }
-        let since = now - self.sync_sent;
-        let due = match self.syncs {
+        let since = now - self.readings.sent_at;
+        let due = match self.readings.in_flight {
             0 => {
                 let idle_s = if self.leader.is_some() { 0.25 } else { 0.4 };
-                self.sync_wanted || !self.waiting.is_empty() || since >= idle_s
+                self.readings.wanted || !self.users.waiting.is_empty() || since >= idle_s
             }
             // Pages of a whole reading come one after the other.
             1 => self.replica.revision().is_some() && since >= OVERTAKE_S,
             _ => false,
         };
-        if !due || !self.requests.take(now, 1.0) {
+        if !due || !self.budgets.requests.take(now, 1.0) {
             return;
         }
-        self.syncs += 1;
-        self.sync_wanted = false;
-        self.sync_sent = now;
+        self.readings.begin(now);
         let prefix = keys::ALL.to_owned();
         match self.replica.revision() {
             Some(since) => self.call_state(now, Purpose::Sync, Call::Follow { prefix, since }),
--- a/crates/gladekeel-controller/src/node/users.rs
+++ b/crates/gladekeel-controller/src/node/users.rs
@@ -1,8 +1,7 @@
 //! What users ask for: accepted, cancelled, told.
 
 use super::{
-    MAX_USER_COMMITS, MAX_WAITING, Node, OVERTAKE_S, Purpose, RequestId, Then, UserWrite, WAIT_S,
-    Waiter,
+    MAX_USER_COMMITS, Node, OVERTAKE_S, Purpose, RequestId, Then, UserWrite, WAIT_S, Waiter,
 };
 use crate::{
     admin::AdminChange,
@@ -46,7 +45,7 @@
         if self.overloaded(now, id) {
             return;
         }
-        self.own_writes.take(now, 1.0);
+        self.budgets.user_writes.take(now, 1.0);
         self.call_state(now, Purpose::Admin(id, change), Call::Commit(txn));
     }
 
@@ -56,7 +55,7 @@
     }
 
     pub(crate) fn overloaded(&mut self, now: f64, id: RequestId) -> bool {
-        let over = self.waiting.len() + self.writes.len() >= MAX_WAITING;
+        let over = self.users.is_full();
         if over {
             tracing::debug!(id, "told to come back: too many requests are waiting");
             self.reply(now, id, Reply::later(503, 2, "too many requests are waiting"));
@@ -69,8 +68,8 @@
     }
 
     pub(crate) fn wait(&mut self, now: f64, request: RequestId, id: Option<JobId>, then: Then) {
-        self.waiting.push(Waiter { request, id, since: now, from: now, then });
-        self.sync_wanted = true;
+        self.users.waiting.push(Waiter { request, id, since: now, from: now, then });
+        self.readings.wanted = true;
     }
 
     pub(super) fn on_poll(&mut self, now: f64, request: RequestId, id: JobId) {
@@ -115,7 +114,7 @@
             Verdict::Unknown => self.later(now, request, "machine types are not known yet"),
             Verdict::Fine => {
                 let spec = Some(Rc::new(spec));
-                self.writes.push_back(UserWrite { request, id, spec, since: now, tries: 0 });
+                self.users.writes.push_back(UserWrite { request, id, spec, since: now, tries: 0 });
             }
         }
     }
@@ -128,7 +127,13 @@
             return;
         }
         if self.world.jobs.contains_key(&id) {
-            self.writes.push_back(UserWrite { request, id, spec: None, since: now, tries: 0 });
+            self.users.writes.push_back(UserWrite {
+                request,
+                id,
+                spec: None,
+                since: now,
+                tries: 0,
+            });
         } else {
             self.wait(now, request, Some(id), Then::Cancel { tries: 0 });
         }
@@ -149,7 +154,13 @@
             let open = status.as_ref().is_some_and(|status| !status.state.is_final());
             match (then, status) {
                 (Then::Cancel { tries }, _) if open && tries < MAX_TRIES => {
-                    self.writes.push_back(UserWrite { request, id, spec: None, since, tries });
+                    self.users.writes.push_back(UserWrite {
+                        request,
+                        id,
+                        spec: None,
+                        since,
+                        tries,
+                    });
                 }
                 (Then::Cancel { .. }, Some(_)) if open => {
                     self.later(now, request, "not cancelled yet");
@@ -159,7 +170,7 @@
                     if tries < MAX_TRIES && now - since < WAIT_S =>
                 {
                     let spec = Some(spec);
-                    self.writes.push_back(UserWrite { request, id, spec, since, tries });
+                    self.users.writes.push_back(UserWrite { request, id, spec, since, tries });
                 }
                 (Then::Create { .. } | Then::Unknown, None) => {
                     self.later(now, request, "not accepted yet");
@@ -176,21 +187,21 @@
 
     /// Applies the outcome of a transaction with users' changes.
     pub(super) fn users_written(&mut self, now: f64, writes: Vec<UserWrite>, outcome: Outcome) {
-        self.writes_flying -= 1;
+        self.users.in_flight -= 1;
         match outcome {
             Outcome::Committed(_) => self.user_writes_committed(now, writes),
             Outcome::Conflict(failed) => self.user_writes_conflicted(now, writes, &failed),
             Outcome::Busy => {
-                self.own_writes.drain(now);
-                self.writes_not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
+                self.budgets.user_writes.drain(now);
+                self.users.not_before = now + 0.1 + self.rng.random::<f64>() * 0.1;
                 self.queue_again(writes);
             }
             // Too large: the limits are lower than the settings say. Nothing was done, and
             // what goes in halves may be taken.
             Outcome::NoLease if writes.len() > 1 => {
-                self.writes_at_once = writes.len() / 2;
+                self.users.most_at_once = writes.len() / 2;
                 tracing::warn!(
-                    at_once = self.writes_at_once,
+                    at_once = self.users.most_at_once,
                     "the state service takes less than its settings say: writing less at once"
                 );
                 self.queue_again(writes);
@@ -220,7 +231,7 @@
             let answer = JobStatus { id: write.id, state, done: None, running: None };
             self.reply(now, write.request, Reply::json(status, &answer));
         }
-        self.sync_wanted |= self.leader.is_some();
+        self.readings.wanted |= self.leader.is_some();
         self.nudge();
     }
 
@@ -231,14 +242,14 @@
             write.tries += 1;
             let own = [keys::job(&write.id), keys::final_state(&write.id)];
             if !failed.is_empty() && !own.iter().any(|key| failed.contains(key)) {
-                self.writes.push_front(write);
+                self.users.writes.push_front(write);
                 continue;
             }
             let then = match write.spec {
                 Some(spec) => Then::Create { spec, tries: write.tries },
                 None => Then::Cancel { tries: write.tries },
             };
-            self.waiting.push(Waiter {
+            self.users.waiting.push(Waiter {
                 request: write.request,
                 id: Some(write.id),
                 since: write.since,
@@ -246,7 +257,7 @@
                 then,
             });
         }
-        self.sync_wanted = true;
+        self.readings.wanted = true;
     }
 
     /// The changes may have been made, or may be later: a reading tells whether they show.
@@ -257,7 +268,7 @@
                 Some(_) => Then::Unknown,
                 None => Then::Cancel { tries: MAX_TRIES },
             };
-            self.waiting.push(Waiter {
+            self.users.waiting.push(Waiter {
                 request: write.request,
                 id: Some(write.id),
                 since: now,
@@ -265,13 +276,13 @@
                 then,
             });
         }
-        self.sync_wanted = true;
+        self.readings.wanted = true;
     }
 
     /// Puts changes back in front of the queue, in their order.
     fn queue_again(&mut self, writes: Vec<UserWrite>) {
         for write in writes.into_iter().rev() {
-            self.writes.push_front(write);
+            self.users.writes.push_front(write);
         }
     }
 
@@ -304,25 +315,26 @@
                 .is_some_and(|(p, ..)| matches!(p, Purpose::Users(w) if w.is_empty()))
             {
                 self.calls.remove(&call);
-                self.writes_flying -= 1;
+                self.users.in_flight -= 1;
             }
         }
     }
 
     pub(super) fn send_user_writes(&mut self, now: f64) {
-        if self.writes_flying >= MAX_USER_COMMITS
-            || self.writes.is_empty()
-            || now < self.writes_not_before
+        if self.users.in_flight >= MAX_USER_COMMITS
+            || self.users.writes.is_empty()
+            || now < self.users.not_before
         {
             return;
         }
-        if !self.own_writes.has(now, 1.0) {
+        if !self.budgets.user_writes.has(now, 1.0) {
             return;
         }
-        let most = self.writes_at_once.min(self.own_writes.level(now).max(1.0) as usize);
+        let most =
+            self.users.most_at_once.min(self.budgets.user_writes.level(now).max(1.0) as usize);
         let mut batch = Batch::default();
         let mut kept = VecDeque::new();
-        while let Some(write) = self.writes.pop_front() {
+        while let Some(write) = self.users.writes.pop_front() {
             if batch.has(&write.id) || batch.writes.len() >= most || batch.bytes > MAX_BATCH_BYTES {
                 kept.push_back(write);
                 continue;
@@ -336,12 +348,12 @@
             }
             batch.writes.push(write);
         }
-        self.writes = kept;
+        self.users.writes = kept;
         if batch.writes.is_empty() {
             return;
         }
-        self.own_writes.take(now, batch.writes.len() as f64);
-        self.writes_flying += 1;
+        self.budgets.user_writes.take(now, batch.writes.len() as f64);
+        self.users.in_flight += 1;
         self.call_state(now, Purpose::Users(batch.writes), Call::Commit(batch.txn));
     }
 }
