--- a/crates/gladekeel-controller/src/api.rs
+++ b/crates/gladekeel-controller/src/api.rs
@@ -140,7 +140,7 @@
     if needed.cpus > limit.cpus || needed.gpus > limit.gpus {
         return Verdict::Never("the job needs more than the team's limit".into());
     }
-    let Some((types, _)) = &world.types else { return Verdict::Unknown };
+    let Some(types) = world.types.all() else { return Verdict::Unknown };
     let allowed = allowed_types(types, spec, task);
     if allowed.is_empty() {
         return Verdict::Never("a task fits no allowed machine type".into());
--- a/crates/gladekeel-controller/src/keys.rs
+++ b/crates/gladekeel-controller/src/keys.rs
@@ -6,6 +6,7 @@
 //! | `gk/fate/<id>` | `"done"` or `"aborted"` | the leader, or any node for a cancellation; once |
 //! | `gk/leader` | who leads; its version is the fencing token | the leader |
 //! | `gk/types` | machine types | the leader |
+//! | `gk/types/<n>` | those that `gk/types` has no room for | the leader |
 //! | `gk/options` | the operators' settings | any node, for an operator |
 //! | `gk/drain/<machine>` | the machine is to be drained | any node, for an operator |
 //! | `gl/<slot>` | a segment of the leader's log, see [`crate::log`] | the leader |
@@ -54,6 +55,17 @@
     format!("{DRAIN}{machine}")
 }
 
+/// The key of a part of the machine types: the first one stands alone where it can.
+pub fn types_part(part: u32) -> String {
+    if part == 0 { TYPES.to_owned() } else { format!("{TYPES}/{part}") }
+}
+
+/// The part of the machine types that a key holds, if it does.
+pub fn part_of_types(key: &str) -> Option<u32> {
+    let rest = key.strip_prefix(TYPES)?;
+    if rest.is_empty() { Some(0) } else { rest.strip_prefix('/')?.parse().ok() }
+}
+
 /// The key of a slot of the log.
 pub fn log(slot: u32) -> String {
     format!("{LOG}{slot:06}")
--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -62,7 +62,7 @@
     pub drains: BTreeSet<String>,
     /// Machine types to write.
     pub types: Option<MachineTypes>,
-    types_version: u64,
+    types_versions: BTreeMap<u32, u64>,
     drain_versions: BTreeMap<String, u64>,
     /// Segments in use, oldest first.
     segments: VecDeque<LogSegment>,
@@ -73,6 +73,8 @@
     next_seq: u64,
     /// Bytes of a segment.
     capacity: usize,
+    /// Bytes of a value.
+    value_bytes: usize,
     /// Puts and deletes of a transaction.
     max_ops: usize,
     sent: Option<Sent>,
@@ -100,7 +102,8 @@
     final_states: Vec<u32>,
     cleared: Vec<u32>,
     drains: Vec<String>,
-    types: bool,
+    /// How many parts of the machine types, if it has them.
+    types: Option<u32>,
     writes: usize,
     /// Key and text of the first segment: what shows that the transaction was made.
     mark: Option<(String, String)>,
@@ -108,10 +111,12 @@
 
 impl Commits {
     pub fn new(params: &Params, world: &World) -> Commits {
+        let value_bytes = (params.state.value_kb * 1024.0) as usize;
         Commits {
-            types_version: world.types.as_ref().map_or(0, |(_, version)| *version),
+            types_versions: world.types.versions(),
             drain_versions: world.drains.clone(),
-            capacity: log::capacity((params.state.value_kb * 1024.0) as usize),
+            capacity: log::capacity(value_bytes),
+            value_bytes,
             max_ops: params.state.txn_ops,
             ..Commits::default()
         }
@@ -149,6 +154,7 @@
     fn shrink(&mut self, writes: usize) {
         self.max_ops = (writes / 2).max(1);
         self.capacity = (self.capacity / 2).max(MIN_CAPACITY);
+        self.value_bytes = (self.value_bytes / 2).max(MIN_CAPACITY);
         tracing::warn!(
             max_ops = self.max_ops,
             bytes = self.capacity,
@@ -301,8 +307,8 @@
             self.commits.drains.remove(&machine);
             self.commits.drain_versions.remove(&machine);
         }
-        if sent.types {
-            self.commits.types_version = revision;
+        if let Some(parts) = sent.types {
+            self.commits.types_versions = (0..parts).map(|part| (part, revision)).collect();
             self.commits.types = None;
         }
         for segment in sent.segments {
--- a/crates/gladekeel-controller/src/leader/commit/draft.rs
+++ b/crates/gladekeel-controller/src/leader/commit/draft.rs
@@ -5,6 +5,7 @@
     keys,
     leader::{Leader, Phase},
     log::{self, Writer},
+    stored_types,
 };
 use gladekeel_wire::{
     job::JobState,
@@ -196,11 +197,28 @@
         }
     }
 
-    pub(super) fn draft_clearing(&self, draft: &mut Draft) {
-        if let Some(types) = &self.commits.types {
-            draft.put(keys::TYPES.into(), self.commits.types_version, types);
-            draft.sent.types = true;
+    /// Adds the machine types, all parts at once: who reads some of them must not take a job
+    /// for one that fits no type.
+    fn draft_types(&self, draft: &mut Draft) {
+        let Some(types) = &self.commits.types else { return };
+        let versions = &self.commits.types_versions;
+        let parts = stored_types::split(types, self.commits.value_bytes);
+        let stale = versions.iter().filter(|(part, _)| **part as usize >= parts.len());
+        if !draft.fits(parts.len() + stale.clone().count()) {
+            return;
+        }
+        for (part, types) in (0..).zip(&parts) {
+            let version = versions.get(&part).copied().unwrap_or(0);
+            draft.put(keys::types_part(part), version, types);
+        }
+        for (part, version) in stale {
+            draft.delete(keys::types_part(*part), *version);
         }
+        draft.sent.types = Some(parts.len() as u32);
+    }
+
+    pub(super) fn draft_clearing(&self, draft: &mut Draft) {
+        self.draft_types(draft);
         for machine in &self.commits.drains {
             if draft.fits(1) {
                 let version = self.commits.drain_versions.get(machine).copied().unwrap_or(0);
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -198,7 +198,7 @@
         let Start { token, now, epoch, params, salt } = start;
         let mut cluster = cluster.unwrap_or_default();
         let mut catalog = std::mem::take(&mut cluster.catalog);
-        catalog.renew(&params, world.types.as_ref().map(|(types, _)| &**types));
+        catalog.renew(&params, world.types.all());
         let teams = params
             .teams
             .iter()
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod options;
 pub mod shell;
 pub mod sockets;
+pub mod stored_types;
 pub mod world;
 
 mod api;
--- a/crates/gladekeel-controller/src/world.rs
+++ b/crates/gladekeel-controller/src/world.rs
@@ -1,10 +1,12 @@
 //! What the store says, in types: the view that every node has.
 
-use crate::keys::{self, LeaderRecord};
+use crate::{
+    keys::{self, LeaderRecord},
+    stored_types::StoredTypes,
+};
 use gladekeel_store::Change;
 use gladekeel_wire::{
     JobId,
-    cloud::MachineTypes,
     job::{JobSpec, JobState},
 };
 use serde::de::DeserializeOwned;
@@ -49,8 +51,8 @@
     pub leader: Option<(LeaderRecord, u64)>,
     /// Highest token ever seen.
     pub token: u64,
-    /// Machine types, with the key's version.
-    pub types: Option<(Rc<MachineTypes>, u64)>,
+    /// Machine types.
+    pub types: StoredTypes,
     /// The operators' settings.
     pub options: BTreeMap<String, f64>,
     /// Version of their key.
@@ -153,11 +155,9 @@
                 .as_ref()
                 .and_then(|(value, version)| Some((read(key, value)?, *version)));
             self.token = self.token.max(self.leader.as_ref().map_or(0, |(_, token)| *token));
-        } else if key == keys::TYPES {
-            self.types = change
-                .now
-                .as_ref()
-                .and_then(|(value, version)| Some((Rc::new(read(key, value)?), *version)));
+        } else if let Some(part) = keys::part_of_types(key) {
+            let stored = change.now.as_ref().map(|(value, version)| (read(key, value), *version));
+            self.types.apply(part, stored);
         }
         if key == keys::OPTIONS {
             let now = change.now.as_ref();
--- a/crates/gladekeel-controller/tests/formats_37c5e95.rs
+++ b/crates/gladekeel-controller/tests/formats_37c5e95.rs
@@ -206,8 +206,8 @@
         boot_s: 20.0,
         zones: vec!["a".into(), "b".into()],
     }];
-    let (read, version) = world.types.clone().expect("types");
-    assert_eq!((&*read, version), (&MachineTypes { types }, 11));
+    assert_eq!(world.types.all(), Some(&MachineTypes { types }));
+    assert_eq!(world.types.versions(), BTreeMap::from([(0, 11)]));
 
     let spec = JobSpec {
         id: a.clone(),
--- a/crates/gladekeel-controller/tests/formats_fe9a16c.rs
+++ b/crates/gladekeel-controller/tests/formats_fe9a16c.rs
@@ -182,7 +182,7 @@
     }
     let record = LeaderRecord { node: "node-2".into(), run: 4_463_397_701_659_385_190 };
     assert_eq!(world.leader.as_ref().map(|(record, _)| record), Some(&record));
-    assert_eq!(world.types.as_ref().map(|(types, _)| types.types.len()), Some(1));
+    assert_eq!(world.types.all().map(|types| types.types.len()), Some(1));
     assert_eq!(
         (world.options.len(), world.options["beta"], world.options["idle_s"]),
         (11, 1.5, 200.0)
--- a/crates/gladekeel-testkit/src/scenario/world.rs
+++ b/crates/gladekeel-testkit/src/scenario/world.rs
@@ -49,7 +49,11 @@
         capacity.insert((zone.clone(), false), get("ordinary", 4.0)? as u32);
         capacity.insert((zone.clone(), true), get("spot", 0.0)? as u32);
     }
-    let types = vec![MachineType { boot_s: get("boot", 20.0)?, ..example_type(zones) }];
+    // Further types, of which the cloud has no machine.
+    let further = (2..=get("types", 1.0)? as u32)
+        .map(|number| MachineType { name: format!("m32-{number}"), ..example_type(zones.clone()) });
+    let mut types: Vec<MachineType> = further.collect();
+    types.push(MachineType { boot_s: get("boot", 20.0)?, ..example_type(zones) });
     let state = State::new(Limits {
         rps: params.state.rps,
         write_rps: params.state.write_rps,
