Under load transactions are wide, and starts, ends and final states have a part of each

A transaction now waits for up to 0.3 s until it is as wide as its limits allow; releases take half of its segments if starts wait, final states a quarter of its operations.

--- a/crates/gladekeel-controller/src/leader/commit.rs
+++ b/crates/gladekeel-controller/src/leader/commit.rs
@@ -20,6 +20,15 @@
 
 /// Time between transactions: what comes in meanwhile goes together.
 const GAP_S: f64 = 0.15;
+/// How much longer a transaction waits for budget if there is more to write than the budget
+/// allows: a wide one fills its segments, several narrow ones do not.
+const WIDEN_S: f64 = 0.3;
+/// One of so many operations of a transaction is kept for final states.
+const FINISHED_PART: usize = 4;
+/// About what an assignment takes of a segment.
+const ASSIGNED_BYTES: usize = 36;
+/// About what a release takes of a segment.
+const RELEASED_BYTES: usize = 18;
 
 /// Bytes of a segment at the least, however little the state service takes: a few rows.
 const MIN_CAPACITY: usize = 256;
@@ -98,7 +107,7 @@
 struct Sent {
     segments: Vec<SentSegment>,
     proposed: BTreeSet<AttemptId>,
-    released: Vec<AttemptId>,
+    released: BTreeSet<AttemptId>,
     final_states: Vec<u32>,
     cleared: Vec<u32>,
     drains: Vec<String>,
@@ -141,6 +150,18 @@
         self.segments.len()
     }
 
+    /// Operations that everything which waits would take.
+    fn wanted_ops(&self) -> usize {
+        let rows = self.released.len() * RELEASED_BYTES + self.proposed.len() * ASSIGNED_BYTES;
+        rows.div_ceil(self.capacity.max(1)) + self.finished.len()
+    }
+
+    /// Bytes of a transaction that releases may take: half of them, or what starts leave.
+    fn release_bytes(&self, draft: &Draft) -> usize {
+        let all = draft.ops_left() * self.capacity;
+        (all / 2).max(all.saturating_sub(self.proposed.len() * ASSIGNED_BYTES))
+    }
+
     /// How many more assignments a round should decide: about what can be written
     /// in a second.
     pub fn batch(&self, params: &Params) -> usize {
@@ -187,11 +208,22 @@
             return None;
         }
         let max_ops = self.commits.max_ops.min(level as usize);
+        let most_ops = self.commits.max_ops.min(budget.burst() as usize);
+        let wanted_ops = self.commits.wanted_ops().min(most_ops);
+        if max_ops < wanted_ops && now < self.commits.not_before + WIDEN_S {
+            return None;
+        }
         let mut draft = Draft::new(max_ops, self.commits.capacity);
         draft.guard(keys::LEADER.into(), self.token);
-        let whole = self.draft_released(&mut draft)
-            && self.draft_finished(&mut draft)
-            && self.draft_proposed(&mut draft);
+        // Each of the three has its part under load: without releases no room comes free,
+        // without starts machines stand idle, and users wait for final states.
+        let for_finished = self.commits.finished.len().min((max_ops / FINISHED_PART).max(1));
+        draft.reserve(if max_ops > 1 { for_finished } else { 0 });
+        let release_bytes = self.commits.release_bytes(&draft);
+        let releases_fit = self.draft_released(&mut draft, release_bytes);
+        let starts_fit = self.draft_proposed(&mut draft);
+        draft.reserve(0);
+        let whole = self.draft_finished(&mut draft) && releases_fit && starts_fit;
         if whole {
             self.draft_cleaning(&mut draft);
             // Clearing away waits until the budget is plainly not needed.
--- a/crates/gladekeel-controller/src/leader/commit/draft.rs
+++ b/crates/gladekeel-controller/src/leader/commit/draft.rs
@@ -1,6 +1,6 @@
 //! Putting the next transaction together: what goes into it, and into which segments.
 
-use super::{AttemptId, Sent, SentSegment};
+use super::{AttemptId, RELEASED_BYTES, Sent, SentSegment};
 use crate::{
     keys,
     leader::{Leader, Phase},
@@ -27,6 +27,8 @@
     segments: Vec<(Writer, SentSegment)>,
     bytes: usize,
     max_ops: usize,
+    /// Operations that are kept for what is added later.
+    reserved: usize,
     capacity: usize,
 }
 
@@ -39,13 +41,24 @@
             segments: Vec::new(),
             bytes: 0,
             max_ops,
+            reserved: 0,
             capacity,
         }
     }
 
+    /// Keeps so many operations for what is added after the next call of this.
+    pub fn reserve(&mut self, ops: usize) {
+        self.reserved = ops;
+    }
+
+    /// How many more operations there may be, besides those that are kept.
+    pub fn ops_left(&self) -> usize {
+        self.max_ops.saturating_sub(self.ops() + self.reserved)
+    }
+
     /// Whether so many more operations are allowed.
     pub fn allows(&self, ops: usize) -> bool {
-        self.ops() + ops <= self.max_ops
+        ops <= self.ops_left()
     }
 
     /// How many operations it has.
@@ -110,9 +123,12 @@
         draft.sent.writes = draft.txn.writes.len();
     }
 
-    /// Adds releases; tells whether all of them fit.
-    pub(super) fn draft_released(&self, draft: &mut Draft) -> bool {
+    /// Adds releases of about so many bytes; tells whether all of them fit.
+    pub(super) fn draft_released(&self, draft: &mut Draft, most_bytes: usize) -> bool {
         for id in &self.commits.released {
+            if draft.sent.released.len() * RELEASED_BYTES >= most_bytes {
+                return false;
+            }
             let Some(attempt) = self.attempts.get(*id) else { continue };
             let Phase::Releasing(end) = attempt.phase else { continue };
             let job = self.job_names.name(attempt.job);
@@ -126,13 +142,22 @@
                     segment.chunks.push(chunk);
                 }
             }
-            draft.sent.released.push(*id);
+            draft.sent.released.insert(*id);
         }
         true
     }
 
+    /// Whether every release of a job that waits is in the draft: its final state is written
+    /// with its last finish or later.
+    fn has_all_releases(&self, draft: &Draft, job: u32) -> bool {
+        let waits = |id: &&AttemptId| self.commits.released.contains(*id);
+        let ids = self.attempts.of_job(job).ids();
+        ids.iter().filter(waits).all(|id| draft.sent.released.contains(id))
+    }
+
     /// Adds jobs that are done; tells whether all of them fit.
     pub(super) fn draft_finished(&self, draft: &mut Draft) -> bool {
+        let mut all_fit = true;
         for ix in &self.commits.finished {
             let Some(job) = self.jobs.get(ix).filter(|job| job.final_state.is_none()) else {
                 continue;
@@ -140,11 +165,15 @@
             if !draft.fits(1) {
                 return false;
             }
+            if !self.has_all_releases(draft, *ix) {
+                all_fit = false;
+                continue;
+            }
             draft.guard(keys::job(&job.id), job.version);
             draft.put(keys::final_state(&job.id), 0, &JobState::Done);
             draft.sent.final_states.push(*ix);
         }
-        true
+        all_fit
     }
 
     fn draft_assigned(&self, draft: &mut Draft, id: AttemptId) -> bool {
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -221,7 +221,7 @@
             report_router: ReportRouter::default(),
             relays: BTreeMap::new(),
             max_direct: Sockets::of(&params.limits).calls,
-            budgets: Budgets::new(&params),
+            budgets: Budgets::new(&params, &settings.params.state),
             resigned: 0,
             hello_at: 0.0,
             counts_at: 0.0,
@@ -468,7 +468,7 @@
         self.send_confirmation(now);
         if let Some(leader) = &mut self.leader {
             let token = leader.token;
-            if let Some(txn) = leader.next_commit(now, &mut self.budgets.leader_writes) {
+            if let Some(txn) = leader.next_commit(now, self.budgets.leader_writes.bucket_at(now)) {
                 self.call_state(now, Purpose::Lead(token), Call::Commit(txn));
             }
         }
--- a/crates/gladekeel-controller/src/node/store.rs
+++ b/crates/gladekeel-controller/src/node/store.rs
@@ -35,7 +35,7 @@
             Purpose::Lead(token) => {
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
                     if outcome == Outcome::Busy {
-                        self.budgets.leader_writes.drain(now);
+                        self.budgets.leader_writes.refused(now);
                     }
                     self.readings.wanted |= leader.commit_answered(now, &outcome);
                 }
--- a/crates/gladekeel-store/src/budget.rs
+++ b/crates/gladekeel-store/src/budget.rs
@@ -15,6 +15,11 @@
         Bucket { rate, burst, level: burst, at: 0.0 }
     }
 
+    /// How much there may be at most.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     fn fill(&mut self, now: f64) {
         self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.burst);
         self.at = self.at.max(now);
--- a/crates/gladekeel-testkit/src/scenario/expectations.rs
+++ b/crates/gladekeel-testkit/src/scenario/expectations.rs
@@ -69,6 +69,8 @@
             let lookups = sim.leader_counts().map_or(0, |c| c.attempt_lookups);
             compare("attempt_lookups", lookups as f64, rest)
         }
+        // Requests refused as beyond a rate.
+        ["busy", rest @ ..] => compare("busy", sim.state.busy as f64, rest),
         ["segments", rest @ ..] => compare("segments", sim.log_segments() as f64, rest),
         [name, "began", rest @ ..] => {
             compare("began", sim.rules.began(&id(name)?).unwrap_or(f64::MAX), rest)
