--- a/crates/gladekeel/src/main.rs
+++ b/crates/gladekeel/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use client::Failure;
 use gladekeel_wire::settings::Settings;
+use tokio::runtime::LocalOptions;
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
@@ -113,13 +114,14 @@
         .with_ansi(false)
         .without_time()
         .init();
+    // Not a `LocalSet` on a runtime: each wake of one writes to the runtime's event socket,
+    // which costs two system calls an event.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()
+        .build_local(LocalOptions::default())
         .map_err(|error| format!("cannot start: {error}"))?;
-    let local = tokio::task::LocalSet::new();
     let seed = rand::random();
-    local
-        .block_on(&runtime, gladekeel_controller::shell::run(settings, seed))
+    runtime
+        .block_on(gladekeel_controller::shell::run(settings, seed))
         .map_err(|error| format!("cannot listen: {error}"))
 }
