Work that is bound to a zone gets machines there when idle ones elsewhere count as room

Cause: the plan of a machine type counts its machines in all zones together. Five idle machines in zone a were room enough for two jobs bound to zone b; nothing was rented, for ever. Ruled out: a refusal of the cloud that is remembered too long, hung machines. Only work that has waited for 10 s is looked at; the ordinary path is as it was.

--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -29,6 +29,7 @@
 mod standby;
 mod status;
 mod timers;
+mod zone_bound;
 
 pub use attempt::{Attempt, Phase, StopReason};
 pub use attempt_id::AttemptId;
--- a/crates/gladekeel-controller/src/leader/sizing.rs
+++ b/crates/gladekeel-controller/src/leader/sizing.rs
@@ -83,6 +83,7 @@
             let needs = needs.remove(&kind).unwrap_or_default();
             self.size_kind(now, options, kind, &needs);
         }
+        self.want_bound_rentals(now);
     }
 
     /// A job has just come.
@@ -145,7 +146,7 @@
     }
 
     /// The type on which a job's tasks cost least, and how many fit on one.
-    fn kind_for(&self, job: &Job) -> Option<(u32, u32)> {
+    pub(super) fn kind_for(&self, job: &Job) -> Option<(u32, u32)> {
         let fitting = |kind: u32| -> Option<(f64, u32, u32)> {
             let machine_type = self.catalog.machine_type(kind)?;
             let fits = job.room.times_in(self.catalog.room(kind)?, 1000);
