Reports are shared by all controllers and passed on to the leader in batches

Cause: what a report costs is that a message of its own arrives, some 100 us, and the leader got 500 messages a second where 48 ms of processor a second serve 480. Followers used a tenth of theirs. Now a worker stays with the controller it reached, which passes its reports on, 20 batches a second at most; the leader sends its own workers to the others and keeps them even, from a size on that follows from its processor's share. Old leaders get the workers sent as before (mesh level).

--- a/crates/gladekeel-controller/src/checkin.rs
+++ b/crates/gladekeel-controller/src/checkin.rs
@@ -19,6 +19,9 @@
     /// The worker cannot reach the leader: pass its report on, and answer with
     /// this, which keeps its lease, if the leader cannot be reached either.
     Keep(ReportAnswer),
+    /// The leader shares the work of hearing workers: pass the report on. If the leader does
+    /// not answer, this keeps the worker's lease; without it this node may not keep it.
+    PassOn(Option<ReportAnswer>),
     /// 421: report to that node.
     Elsewhere(Redirect),
     /// 503: this node is not entitled to act.
@@ -40,6 +43,8 @@
     pub fresh: bool,
     /// Whether reports can be passed on to the leader.
     pub may_relay: bool,
+    /// Whether the leader expects other nodes to keep their workers and pass reports on.
+    pub leader_shares: bool,
 }
 
 /// A worker that was redirected to the leader.
@@ -83,6 +88,9 @@
             }
             return Answer::Commands(leader.on_report(now, report, context.fresh));
         }
+        if context.leader_shares {
+            return Answer::PassOn(keep_lease(context, report));
+        }
         let token = context.world.token;
         if let Some(name) = context.leader_elsewhere {
             self.forget_old(now);
@@ -94,21 +102,22 @@
                 return Answer::Elsewhere(Redirect { report_to: Some(name.to_owned()) });
             }
         }
-        if !context.may_renew_leases || token == 0 || report.token > token {
-            return Answer::NotEntitled;
-        }
-        // Nobody who could command it can be reached: keep its tasks alive, except
-        // those that were cancelled.
-        let cancelled = report.tasks.iter().filter(|task| {
-            task.state != TaskState::Exited && context.world.is_cancelled(&task.task.job)
-        });
-        let commands = cancelled
-            .map(|task| Command::Stop {
-                task: task.task.clone(),
-                attempt: task.attempt,
-                grace_s: 0.0,
-            })
-            .collect();
-        Answer::Keep(ReportAnswer { token, commands })
+        keep_lease(context, report).map_or(Answer::NotEntitled, Answer::Keep)
+    }
+}
+
+/// The answer of a node that does not lead and cannot ask the leader, if it is entitled to
+/// one: it keeps the worker's tasks alive, except those that were cancelled.
+fn keep_lease(context: &ReportContext<'_>, report: &Report) -> Option<ReportAnswer> {
+    let token = context.world.token;
+    if !context.may_renew_leases || token == 0 || report.token > token {
+        return None;
     }
+    let cancelled = report.tasks.iter().filter(|task| {
+        task.state != TaskState::Exited && context.world.is_cancelled(&task.task.job)
+    });
+    let commands = cancelled
+        .map(|task| Command::Stop { task: task.task.clone(), attempt: task.attempt, grace_s: 0.0 })
+        .collect();
+    Some(ReportAnswer { token, commands })
 }
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod node;
 pub mod options;
+pub mod sharing;
 pub mod shell;
 pub mod sockets;
 pub mod stored_types;
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod peers;
 mod queue;
 mod readings;
+mod reports;
 mod store;
 mod users;
 
@@ -13,7 +14,6 @@
 use crate::{
     admin::AdminChange,
     api::Route,
-    checkin::{Answer, ReportContext, ReportRouter},
     cloud::{CloudCall, CloudOutcome},
     election::Election,
     keys::{self, LeaderRecord},
@@ -29,12 +29,12 @@
     mesh::{Hello, Kind, LEVEL},
     settings::{Params, Settings},
     state::Row,
-    worker::{Report, ReportAnswer},
 };
 pub(crate) use queue::Then;
 use queue::{UserQueue, UserWrite, Waiter};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use readings::Readings;
+use reports::Reports;
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -141,9 +141,7 @@
     /// The last token under which this process led. Attempts are numbered by token, so
     /// it never leads under the same one again.
     spent: u64,
-    report_router: ReportRouter,
-    /// Reports passed on to the leader, with what to answer if it does not.
-    relays: BTreeMap<CallId, (RequestId, f64, ReportAnswer)>,
+    reports: Reports,
     /// Calls to workers that may be under way at once.
     max_direct: usize,
     pub(crate) budgets: Budgets,
@@ -218,8 +216,7 @@
             leader: None,
             takeover: None,
             spent: 0,
-            report_router: ReportRouter::default(),
-            relays: BTreeMap::new(),
+            reports: Reports::new(&params, settings.peers.len()),
             max_direct: Sockets::of(&params.limits).calls,
             budgets: Budgets::new(&params, &settings.params.state),
             resigned: 0,
@@ -315,44 +312,6 @@
         }
     }
 
-    fn on_checkin(&mut self, now: f64, id: RequestId, body: &[u8]) {
-        let report: Report = match serde_json::from_slice(body) {
-            Ok(report) => report,
-            Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
-        };
-        if let Some(leader) = &mut self.leader {
-            leader.note_report(now, &report);
-        }
-        let elsewhere = self.leader_elsewhere(now).map(str::to_owned);
-        let relay = self.peers.iter().position(|peer| {
-            Some(&peer.name) == elsewhere.as_ref()
-                && peer.heard_at.is_some_and(|at| now - at < HELLO_S)
-        });
-        let context = ReportContext {
-            now,
-            world: &self.world,
-            leader_elsewhere: elsewhere.as_deref(),
-            may_renew_leases: self.may_renew_leases(now),
-            fresh: self.fresh(now),
-            may_relay: relay.is_some(),
-        };
-        let reply = match self.report_router.answer(&context, self.leader.as_mut(), &report) {
-            Answer::Commands(answer) => Reply::json(200, &answer),
-            Answer::Keep(answer) => {
-                if let Some(peer) = relay {
-                    let call = self.next_call;
-                    self.next_call += 1;
-                    self.relays.insert(call, (id, now, answer));
-                    return self.send(peer, Kind::Relay, 0, call, body);
-                }
-                Reply::json(200, &answer)
-            }
-            Answer::Elsewhere(redirect) => Reply::json(421, &redirect),
-            Answer::NotEntitled => Reply::later(503, 1, "not entitled to act"),
-        };
-        self.reply(now, id, reply);
-    }
-
     fn on_cloud(&mut self, now: f64, call: CallId, outcome: CloudOutcome) {
         let Some((leadership, request)) = self.cloud_calls.remove(&call) else { return };
         if leadership != self.leadership {
@@ -373,18 +332,8 @@
         for request in self.users.take_older(now - WAIT_S) {
             self.later(now, request, "the state service is slow");
         }
-        while let Some((call, (id, since, answer))) = self.relays.pop_first() {
-            if now - since < RELAY_S {
-                self.relays.insert(call, (id, since, answer));
-                break;
-            }
-            let reply = if self.may_renew_leases(now) {
-                Reply::json(200, &answer)
-            } else {
-                Reply::later(503, 1, "not entitled to act")
-            };
-            self.reply(now, id, reply);
-        }
+        self.answer_overdue_relays(now);
+        self.send_passed_on(now);
         if let Some(leader) = &mut self.leader {
             let heard = self
                 .peers
--- a/crates/gladekeel-controller/src/node/peers.rs
+++ b/crates/gladekeel-controller/src/node/peers.rs
@@ -1,11 +1,10 @@
 //! What controllers tell one another.
 
 use super::{Action, COUNTS_S, HELLO_S, Node, PeerView};
-use crate::{api::Reply, world::Counts};
+use crate::world::Counts;
 use gladekeel_wire::{
     JobId,
     mesh::{self, Header, Hello, Kind},
-    worker::Report,
 };
 use zerocopy::{FromBytes, IntoBytes};
 
@@ -77,29 +76,6 @@
         }
     }
 
-    /// Answers a worker's report that another node has passed on. Only a leader with
-    /// something to say does; the other node keeps the worker's lease otherwise.
-    fn on_relay(&mut self, now: f64, peer: usize, header: &Header, payload: &[u8]) {
-        let report = serde_json::from_slice::<Report>(payload);
-        let (may_renew_leases, fresh) = (self.may_renew_leases(now), self.fresh(now));
-        if let (Some(leader), Ok(report)) = (&mut self.leader, report)
-            && may_renew_leases
-            && report.token <= leader.token
-        {
-            let answer = leader.on_report(now, &report, fresh);
-            let body = serde_json::to_vec(&answer).expect("wire types always serialise");
-            self.send(peer, Kind::Relayed, 200, header.call.get(), &body);
-        }
-    }
-
-    /// Passes the leader's answer to a worker's report on to the worker.
-    fn on_relayed(&mut self, now: f64, header: &Header, payload: &[u8]) {
-        let Some((id, ..)) = self.relays.remove(&header.call.get()) else { return };
-        let status = header.status.get();
-        let reply = Reply { status, retry_after: None, body: payload.to_vec(), plain: false };
-        self.reply(now, id, reply);
-    }
-
     fn on_counts(&mut self, sender: &str, payload: &[u8]) {
         let leader = self.world.leader.as_ref();
         if leader.is_none_or(|(record, _)| record.node != sender) {
--- /dev/null
+++ b/crates/gladekeel-controller/src/node/reports.rs
@@ -0,0 +1,194 @@
+//! Workers' reports: answered here, passed on to the leader, or sent elsewhere.
+
+use super::{CallId, HELLO_S, Node, RELAY_S, RequestId};
+use crate::{
+    api::Reply,
+    checkin::{Answer, ReportContext, ReportRouter},
+    sharing::{Listener, ReportSharing},
+};
+use gladekeel_wire::{
+    mesh::{Header, Kind, SHARES_REPORTS},
+    settings::Params,
+    worker::{Redirect, Report, ReportAnswer},
+};
+use std::collections::BTreeMap;
+
+/// Reports that come within this time are passed on together: each message that arrives on
+/// its own costs the leader more than what it says.
+const BATCH_S: f64 = 0.05;
+/// A peer that was in contact with the state service within this time knows who leads.
+const CONTACT_MS: u32 = 2500;
+
+/// A report that was passed on to the leader.
+#[derive(Debug)]
+struct Relay {
+    request: RequestId,
+    since: f64,
+    /// What keeps the worker's lease if the leader does not answer.
+    fallback: Option<ReportAnswer>,
+}
+
+/// Reports on their way between controllers.
+#[derive(Debug)]
+pub(super) struct Reports {
+    router: ReportRouter,
+    sharing: ReportSharing,
+    /// Passed on to the leader, not answered yet.
+    relays: BTreeMap<CallId, Relay>,
+    /// To be passed on with the next batch: the peer, the call and the report.
+    batch: Vec<(usize, CallId, Vec<u8>)>,
+    batch_at: f64,
+}
+
+impl Reports {
+    pub fn new(params: &Params, peers: usize) -> Reports {
+        Reports {
+            router: ReportRouter::default(),
+            sharing: ReportSharing::new(params, peers),
+            relays: BTreeMap::new(),
+            batch: Vec::new(),
+            batch_at: f64::NEG_INFINITY,
+        }
+    }
+}
+
+impl Node {
+    /// Answers a worker's report, now or when the leader has.
+    pub(super) fn on_checkin(&mut self, now: f64, id: RequestId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => return self.reply(now, id, Reply::error(400, error.to_string())),
+        };
+        if let Some(leader) = &mut self.leader {
+            leader.note_report(now, &report);
+            if let Some(elsewhere) = self.listener_for(now, &report, Listener::Leader) {
+                return self.reply(now, id, Reply::json(421, &elsewhere));
+            }
+        }
+        let elsewhere = self.leader_elsewhere(now).map(str::to_owned);
+        let leader_peer = self.peers.iter().position(|peer| {
+            Some(&peer.name) == elsewhere.as_ref()
+                && peer.heard_at.is_some_and(|at| now - at < HELLO_S)
+        });
+        let leader_shares = leader_peer.is_some_and(|at| self.peers[at].level >= SHARES_REPORTS);
+        let context = ReportContext {
+            now,
+            world: &self.world,
+            leader_elsewhere: elsewhere.as_deref(),
+            may_renew_leases: self.may_renew_leases(now),
+            fresh: self.fresh(now),
+            may_relay: leader_peer.is_some(),
+            leader_shares,
+        };
+        let reply = match self.reports.router.answer(&context, self.leader.as_mut(), &report) {
+            Answer::Commands(answer) => Reply::json(200, &answer),
+            Answer::Keep(answer) => {
+                if let Some(peer) = leader_peer {
+                    return self.pass_on(now, peer, id, body, Some(answer));
+                }
+                Reply::json(200, &answer)
+            }
+            Answer::PassOn(fallback) => {
+                if let Some(peer) = leader_peer {
+                    return self.pass_on(now, peer, id, body, fallback);
+                }
+                not_entitled()
+            }
+            Answer::Elsewhere(redirect) => Reply::json(421, &redirect),
+            Answer::NotEntitled => not_entitled(),
+        };
+        self.reply(now, id, reply);
+    }
+
+    /// Where a worker should report instead of where it does, if anywhere. For a leader only.
+    fn listener_for(&mut self, now: f64, report: &Report, listener: Listener) -> Option<Redirect> {
+        if !self.may_renew_leases(now) {
+            return None;
+        }
+        let passes_on = |peer: &super::PeerView| {
+            peer.level >= SHARES_REPORTS
+                && peer.heard_at.is_some_and(|at| now - at < HELLO_S)
+                && peer.contact_ms < CONTACT_MS
+        };
+        let usable: Vec<bool> = self.peers.iter().map(passes_on).collect();
+        let peer = self.reports.sharing.place(now, &report.machine, listener, &usable)?;
+        Some(Redirect { report_to: Some(self.peers[peer].name.clone()) })
+    }
+
+    /// Passes a report on to the leader, with others that come within a moment.
+    fn pass_on(
+        &mut self,
+        now: f64,
+        peer: usize,
+        request: RequestId,
+        body: &[u8],
+        fallback: Option<ReportAnswer>,
+    ) {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.reports.relays.insert(call, Relay { request, since: now, fallback });
+        self.reports.batch.push((peer, call, body.to_vec()));
+        self.send_passed_on(now);
+    }
+
+    /// Sends the reports that are to be passed on, if the last ones are long enough ago.
+    pub(super) fn send_passed_on(&mut self, now: f64) {
+        if self.reports.batch.is_empty() || now - self.reports.batch_at < BATCH_S {
+            return;
+        }
+        self.reports.batch_at = now;
+        for (peer, call, body) in std::mem::take(&mut self.reports.batch) {
+            self.send(peer, Kind::Relay, 0, call, &body);
+        }
+    }
+
+    /// Answers workers whose reports the leader has not answered in time.
+    pub(super) fn answer_overdue_relays(&mut self, now: f64) {
+        while let Some(first) = self.reports.relays.first_entry() {
+            if now - first.get().since < RELAY_S {
+                return;
+            }
+            let Relay { request, fallback, .. } = first.remove();
+            let reply = match fallback.filter(|_| self.may_renew_leases(now)) {
+                Some(answer) => Reply::json(200, &answer),
+                None => not_entitled(),
+            };
+            self.reply(now, request, reply);
+        }
+    }
+
+    /// Answers a worker's report that another node has passed on. Only a leader with
+    /// something to say does; the other node keeps the worker's lease otherwise.
+    pub(super) fn on_relay(&mut self, now: f64, peer: usize, header: &Header, payload: &[u8]) {
+        let Ok(report) = serde_json::from_slice::<Report>(payload) else { return };
+        let (may_renew_leases, fresh) = (self.may_renew_leases(now), self.fresh(now));
+        let call = header.call.get();
+        let Some(leader) = &mut self.leader else { return };
+        if !may_renew_leases || report.token > leader.token {
+            return;
+        }
+        let answer = leader.on_report(now, &report, fresh);
+        // An answer that brings something about must reach the worker: the next report is
+        // to show it.
+        let is_needed = report.token != answer.token || !answer.commands.is_empty();
+        if !is_needed && let Some(elsewhere) = self.listener_for(now, &report, Listener::Peer(peer))
+        {
+            let body = serde_json::to_vec(&elsewhere).expect("wire types always serialise");
+            return self.send(peer, Kind::Relayed, 421, call, &body);
+        }
+        let body = serde_json::to_vec(&answer).expect("wire types always serialise");
+        self.send(peer, Kind::Relayed, 200, call, &body);
+    }
+
+    /// Passes the leader's answer to a worker's report on to the worker.
+    pub(super) fn on_relayed(&mut self, now: f64, header: &Header, payload: &[u8]) {
+        let Some(relay) = self.reports.relays.remove(&header.call.get()) else { return };
+        let status = header.status.get();
+        let reply = Reply { status, retry_after: None, body: payload.to_vec(), plain: false };
+        self.reply(now, relay.request, reply);
+    }
+}
+
+fn not_entitled() -> Reply {
+    Reply::later(503, 1, "not entitled to act")
+}
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -24,7 +24,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
     task::spawn_local,
@@ -42,6 +42,10 @@
 const CLOUD_CONNECTIONS: usize = 4;
 /// Time to connect to another controller, or to send it a frame.
 const MESH_SEND: Duration = Duration::from_secs(2);
+/// Frames that wait are sent together up to this many bytes.
+const MESH_WRITE: usize = 64 * 1024;
+/// Bytes that are read from another controller at once.
+const MESH_READ: usize = 16 * 1024;
 /// Pause before another controller is connected to again.
 const MESH_RECONNECT: Duration = Duration::from_millis(500);
 /// Hellos come every second: a connection that is silent for this long is dead.
@@ -305,8 +309,14 @@
 ) -> Option<()> {
     let _ = stream.set_nodelay(true);
     loop {
-        let frame = frames.recv().await?;
-        if !matches!(timeout(MESH_SEND, stream.write_all(&frame)).await, Ok(Ok(()))) {
+        let mut bytes = frames.recv().await?;
+        // What has gathered goes out in one write: the other side wakes once for all of it.
+        while bytes.len() < MESH_WRITE
+            && let Ok(frame) = frames.try_recv()
+        {
+            bytes.extend_from_slice(&frame);
+        }
+        if !matches!(timeout(MESH_SEND, stream.write_all(&bytes)).await, Ok(Ok(()))) {
             return Some(());
         }
     }
@@ -335,7 +345,8 @@
     }
 }
 
-async fn read_frames(mut stream: TcpStream, shell: &Rc<Shell>) -> io::Result<()> {
+async fn read_frames(stream: TcpStream, shell: &Rc<Shell>) -> io::Result<()> {
+    let mut stream = BufReader::with_capacity(MESH_READ, stream);
     let mut head = [0; Header::SIZE];
     loop {
         timeout(MESH_SILENCE, stream.read_exact(&mut head)).await??;
--- a/crates/gladekeel-testkit/examples/playground.rs
+++ b/crates/gladekeel-testkit/examples/playground.rs
@@ -410,8 +410,8 @@
                 let mut workers = self.workers.borrow_mut();
                 let Some(worker) = workers.get_mut(&name) else { break };
                 worker.step(now);
-                let due =
-                    now >= next || (worker.changed && now >= next - self.size.report_s() + CHANGE_REPORT_S);
+                let due = now >= next
+                    || (worker.changed && now >= next - self.size.report_s() + CHANGE_REPORT_S);
                 if !due {
                     continue;
                 }
--- a/crates/gladekeel-testkit/src/scenario/expectations.rs
+++ b/crates/gladekeel-testkit/src/scenario/expectations.rs
@@ -56,6 +56,10 @@
         ["cancelled_running", rest @ ..] => {
             compare("cancelled_running", sim.rules.cancelled_running() as f64, rest)
         }
+        // Workers that report to the leader itself, not through another controller.
+        ["heard_by_leader", rest @ ..] => {
+            compare("heard_by_leader", sim.heard_by_leader() as f64, rest)
+        }
         ["leaders", rest @ ..] => compare("leaders", sim.leaders.len() as f64, rest),
         ["machines", rest @ ..] => compare("machines", sim.cloud.present().len() as f64, rest),
         ["rented", rest @ ..] => compare("rented", sim.cloud.machines.len() as f64, rest),
--- a/crates/gladekeel-testkit/src/sim/machines.rs
+++ b/crates/gladekeel-testkit/src/sim/machines.rs
@@ -97,6 +97,12 @@
         });
     }
 
+    /// How many workers report to the leader itself.
+    pub fn heard_by_leader(&self) -> usize {
+        let leading = self.leading();
+        self.workers.values().filter(|worker| Some(worker.node) == leading).count()
+    }
+
     /// A machine is gone with everything on it.
     pub fn remove_worker(&mut self, name: &str) {
         let Some(mut worker) = self.workers.remove(name) else { return };
--- /dev/null
+++ b/crates/gladekeel-testkit/tests/sharing.rs
@@ -0,0 +1,86 @@
+//! Which controller each worker reports to.
+
+use gladekeel_controller::sharing::{Listener, ReportSharing};
+use gladekeel_testkit::scenario::example_settings;
+
+const USABLE: [bool; 2] = [true, true];
+
+fn sharing(cpu_share: f64) -> ReportSharing {
+    let mut params = example_settings(0, 3).params;
+    params.limits.cpu_share = cpu_share;
+    ReportSharing::new(&params, USABLE.len())
+}
+
+fn name(machine: usize) -> String {
+    format!("n-{machine:06}")
+}
+
+/// Lets each machine report once to whoever hears it; returns how many were sent elsewhere.
+fn report_all(
+    sharing: &mut ReportSharing,
+    now: f64,
+    listeners: &mut [Listener],
+    usable: &[bool],
+) -> usize {
+    let mut moved = 0;
+    for (machine, listener) in listeners.iter_mut().enumerate() {
+        if let Some(peer) = sharing.place(now, &name(machine), *listener, usable) {
+            *listener = Listener::Peer(peer);
+            moved += 1;
+        }
+    }
+    moved
+}
+
+#[test]
+fn a_leader_of_few_workers_hears_them_itself() {
+    let mut listeners = vec![Listener::Leader; 50];
+    assert_eq!(report_all(&mut sharing(0.2), 0.0, &mut listeners, &USABLE), 0);
+}
+
+/// The leader of 2,400 machines spent its whole small processor on hearing them.
+#[test]
+fn many_workers_are_heard_by_the_other_controllers_evenly() {
+    let mut sharing = sharing(0.05);
+    let mut listeners = vec![Listener::Leader; 2400];
+    for round in 0..3 {
+        report_all(&mut sharing, f64::from(round) * 3.0, &mut listeners, &USABLE);
+    }
+    let by_leader = listeners.iter().filter(|listener| **listener == Listener::Leader).count();
+    assert!(by_leader <= 100, "{by_leader} workers are heard by the leader");
+    let heard = sharing.heard_by_peer();
+    assert!(heard[0].abs_diff(heard[1]) <= 100, "{heard:?}");
+}
+
+/// After a controller has been away all of its workers are with another one.
+#[test]
+fn a_controller_that_is_back_gets_its_part() {
+    let mut sharing = sharing(0.05);
+    let mut listeners = vec![Listener::Peer(0); 1000];
+    report_all(&mut sharing, 0.0, &mut listeners, &[true, false]);
+    assert_eq!(sharing.heard_by_peer(), [1000, 0]);
+    report_all(&mut sharing, 3.0, &mut listeners, &USABLE);
+    assert!(sharing.heard_by_peer()[1] >= 350, "{:?}", sharing.heard_by_peer());
+    assert_eq!(report_all(&mut sharing, 6.0, &mut listeners, &USABLE), 0, "it settles");
+}
+
+/// A worker that comes back could not reach where it was sent.
+#[test]
+fn a_worker_that_comes_back_stays() {
+    let mut sharing = sharing(0.001);
+    for machine in 0..100 {
+        sharing.place(0.0, &name(machine), Listener::Leader, &USABLE);
+    }
+    let sent = sharing.place(1.0, &name(99), Listener::Leader, &USABLE);
+    assert_eq!(sent, None);
+}
+
+/// Workers that are gone make no room for others to be sent to.
+#[test]
+fn silent_workers_are_forgotten() {
+    let mut sharing = sharing(0.05);
+    let mut listeners = vec![Listener::Peer(0); 500];
+    report_all(&mut sharing, 0.0, &mut listeners, &USABLE);
+    sharing.place(100.0, "n-1", Listener::Peer(1), &USABLE);
+    assert_eq!(sharing.heard_by_peer(), [0, 1]);
+}
--- a/crates/gladekeel-wire/src/mesh.rs
+++ b/crates/gladekeel-wire/src/mesh.rs
@@ -36,7 +36,10 @@
 
 /// What this version understands, told in the status of its hellos. The first version
 /// with a level told 0, and passes over what others tell.
-pub const LEVEL: u16 = 1;
+pub const LEVEL: u16 = 2;
+/// From this level on a leader takes [`Kind::Relay`] as the usual way of a report: other
+/// nodes keep their workers instead of sending them to the leader.
+pub const SHARES_REPORTS: u16 = 2;
 
 impl Kind {
     /// The kind with this number.
--- a/crates/gladekeel/src/main.rs
+++ b/crates/gladekeel/src/main.rs
@@ -5,11 +5,11 @@
 use clap::{Args, Parser, Subcommand};
 use client::Failure;
 use gladekeel_wire::settings::Settings;
-use tokio::runtime::LocalOptions;
 use std::{
     path::{Path, PathBuf},
     process::ExitCode,
 };
+use tokio::runtime::LocalOptions;
 
 /// A cluster scheduler: runs users' jobs on machines rented from a cloud.
 #[derive(Parser)]
