A process serves once it knows who leads; a leader helps a single other controller

Now a process finds out who leads before it accepts, for 2 s at most; the listener's queue holds all who may be served; with one follower the leader hears three workers of ten; a new leader asks at once only as many as its processor's share allows, the others report within seconds.

--- a/crates/gladekeel-controller/src/leader/liveness.rs
+++ b/crates/gladekeel-controller/src/leader/liveness.rs
@@ -25,6 +25,9 @@
 const HEARD_PART: f64 = 0.6;
 /// Added to the time in which one that answers should have reported.
 const MUTE_MARGIN_S: f64 = 4.0;
+/// A new leader asks so many machines at once how they are, if it has a whole core: answers of
+/// thousands would keep a small processor busy for longer than their next reports take.
+const ASKED_A_CORE: f64 = 500.0;
 /// A machine that is silent for so many leases is dead, whatever else is heard.
 const LEASES_SILENT: f64 = 3.0;
 
@@ -137,6 +140,8 @@
         let late_s = workers.late_s();
         SilenceLimits {
             ask_s: workers.ask_s(),
+            asks_unknown: self.cluster.machines.len() as f64
+                <= ASKED_A_CORE * self.params.limits.cpu_share,
             late_s,
             lease_s: workers.lease_s,
             silent_s: options.silent_s,
@@ -151,6 +156,8 @@
 struct SilenceLimits {
     /// A machine is asked.
     ask_s: f64,
+    /// Machines that this leader has not heard yet are asked at once.
+    asks_unknown: bool,
     /// Its reports are late.
     late_s: f64,
     /// Its lease has run out.
@@ -228,7 +235,7 @@
         self.should_report()
             && !self.is_empty_and_drained()
             && !self.reports_to_nobody(now, limits)
-            && (now - self.quiet_since > limits.ask_s || unknown)
+            && (now - self.quiet_since > limits.ask_s || (unknown && limits.asks_unknown))
     }
 
     fn is_empty_and_drained(&self) -> bool {
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -262,6 +262,14 @@
         self.leader.as_ref()
     }
 
+    /// Whether this node knows the store, and leads or has heard the controller that does.
+    pub fn is_settled(&self, now: f64) -> bool {
+        let heard =
+            |name: &str| self.peers.iter().any(|peer| peer.name == name && peer.heard_at.is_some());
+        self.replica.revision().is_some()
+            && (self.leader.is_some() || self.leader_elsewhere(now).is_some_and(heard))
+    }
+
     fn fresh(&self, now: f64) -> bool {
         self.contact.is_some_and(|at| now - at < FRESH_S)
     }
--- a/crates/gladekeel-controller/src/node/reports.rs
+++ b/crates/gladekeel-controller/src/node/reports.rs
@@ -111,8 +111,11 @@
                 && peer.contact_ms < CONTACT_MS
         };
         let usable: Vec<bool> = self.peers.iter().map(passes_on).collect();
-        let peer = self.reports.sharing.place(now, &report.machine, listener, &usable)?;
-        Some(Redirect { report_to: Some(self.peers[peer].name.clone()) })
+        let name = match self.reports.sharing.place(now, &report.machine, listener, &usable)? {
+            Listener::Peer(peer) => &self.peers[peer].name,
+            Listener::Leader => &self.settings.node,
+        };
+        Some(Redirect { report_to: Some(name.clone()) })
     }
 
     /// Passes a report on to the leader, with others that come within a moment.
--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -25,7 +25,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{mpsc, oneshot},
     task::spawn_local,
     time::{MissedTickBehavior, timeout},
@@ -33,6 +33,9 @@
 
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(50);
+/// Time that a process that has just started takes at most to find out who leads, before it
+/// serves.
+const SETTLE: Duration = Duration::from_secs(2);
 /// Frames that wait for a controller that cannot be reached; newer ones are dropped.
 const MESH_QUEUE: usize = 1024;
 
@@ -92,14 +95,15 @@
 
 /// Runs a node until the process ends. Must be called inside a `LocalSet`.
 pub async fn run(settings: Settings, seed: u64) -> io::Result<()> {
-    let users = TcpListener::bind(settings.listen).await?;
-    let peers = TcpListener::bind(settings.peer_listen).await?;
     let sockets = Sockets::of(&settings.params.limits);
+    let users = listen(settings.listen, sockets.served)?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
     let shell = Rc::new(Shell::new(&settings, &sockets, seed));
     tracing::info!(node = settings.node, listen = %settings.listen, "started");
     let server = user_server(users, &settings, &sockets);
     spawn_local(accept_peers(peers, shell.clone()));
     spawn_local(tick(shell.clone(), sockets, server.counts()));
+    settle(&shell).await;
     server
         .run(move |request| {
             let shell = shell.clone();
@@ -109,6 +113,28 @@
     Ok(())
 }
 
+/// A listener whose queue holds everyone who may be served: all workers may come at once.
+fn listen(addr: SocketAddr, queue: usize) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(queue.try_into().unwrap_or(u32::MAX))
+}
+
+/// Waits until the node knows the store and who leads, but not for long. After all controllers
+/// have ended, thousands of workers come at once: taken first, they would keep a small
+/// processor busy for seconds before anybody leads. They wait in the listener's queue.
+async fn settle(shell: &Rc<Shell>) {
+    let settled = async {
+        while !shell.node.borrow().is_settled(shell.start.elapsed().as_secs_f64()) {
+            tokio::time::sleep(TICK).await;
+        }
+    };
+    if timeout(SETTLE, settled).await.is_err() {
+        tracing::info!("serving without knowing who leads");
+    }
+}
+
 /// The server for users, operators and workers.
 fn user_server(listener: TcpListener, settings: &Settings, sockets: &Sockets) -> Server {
     // Workers are silent between reports, users between polls.
