As many frames may wait for a controller as workers may report in a moment

With 4,000 machines more than 1,024 workers may report to one controller right after a takeover; reports beyond that were dropped and cost 1.5 s each. Ruled out as limits below 4,000: indices, list pages, batches of a round, sockets (all follow from settings).

--- a/crates/gladekeel-controller/src/shell.rs
+++ b/crates/gladekeel-controller/src/shell.rs
@@ -36,8 +36,6 @@
 /// Time that a process that has just started takes at most to find out who leads, before it
 /// serves.
 const SETTLE: Duration = Duration::from_secs(2);
-/// Frames that wait for a controller that cannot be reached; newer ones are dropped.
-const MESH_QUEUE: usize = 1024;
 
 /// Idle connections that are kept to the state service.
 const STATE_CONNECTIONS: usize = 8;
@@ -170,7 +168,7 @@
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mesh_connections = Rc::default();
         let connect = |peer: &Peer| {
-            let (sender, receiver) = mpsc::channel(MESH_QUEUE);
+            let (sender, receiver) = mpsc::channel(sockets.mesh_queue());
             spawn_local(send_frames(peer.addr, receiver, Rc::clone(&mesh_connections)));
             sender
         };
--- a/crates/gladekeel-controller/src/sockets.rs
+++ b/crates/gladekeel-controller/src/sockets.rs
@@ -2,6 +2,9 @@
 
 use gladekeel_wire::settings::Limits;
 
+/// Frames that may wait for another controller at the least.
+const LEAST_MESH_QUEUE: usize = 1024;
+
 /// Connections by what they are for. What is left over is for the listeners, the state
 /// service, the cloud, other controllers, and newcomers until they are let in or refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +34,12 @@
         Sockets { served, kept_users: (all / 20).max(2), kept_workers: served / 2, calls, rest }
     }
 
+    /// Frames that may wait for another controller; newer ones are dropped. All workers that
+    /// are served may report within a moment, after a takeover, and each report is a frame.
+    pub fn mesh_queue(&self) -> usize {
+        LEAST_MESH_QUEUE.max(self.served)
+    }
+
     /// Connections to workers while so many are served: those that nobody uses. A kept
     /// connection spares a new one for the next command.
     pub fn calls_beside(&self, served: usize) -> usize {
--- a/crates/gladekeel-controller/tests/sockets.rs
+++ b/crates/gladekeel-controller/tests/sockets.rs
@@ -21,3 +21,13 @@
     let sockets = Sockets::of(&limits);
     assert!(sockets.served - sockets.kept_users >= 3375, "half as many machines again");
 }
+
+/// With 4,000 workers a thousand frames were too few for the reports of a single moment.
+#[test]
+fn a_report_of_each_worker_may_wait_for_the_leader() {
+    for max_connections in [32, 1000, 3500, 5000, 20_000] {
+        let limits = Limits { cpu_share: 0.1, memory_mb: 100.0, max_connections };
+        let sockets = Sockets::of(&limits);
+        assert!(sockets.mesh_queue() >= sockets.served, "{max_connections}");
+    }
+}
