--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.." || exit 2
 harness=target/review/release/review-harness
 [[ -x $harness && -x target/release/gladekeel ]] || { echo "build first" >&2; exit 2; }
-exec "$harness" cancel-round "$here/record.txt"
+exec "$harness" cancel-crash "$here/record.txt"
--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -12,7 +12,7 @@
     job::{JobKind, JobSpec, JobState, Priority},
 };
 use std::{rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::{task::spawn_local, time::sleep};
 
 /// The deployment of a case, with the machines that are up at its start and those that can be
 /// rented.
@@ -23,11 +23,17 @@
         // report first: one of the four at the leader, at most.
         "cut-leader" => Some((Site { first_reports_s: 4.0, ..pecos(5) }, 4, 0)),
         "cancel-crash" | "cancel-round" => Some((bahir(), 0, 4)),
+        "long-run" => Some((pecos(5), 4, 0)),
         "explore" => Some((explore::site(), 3, 12)),
         _ => None,
     }
 }
 
+/// How many jobs were done before the case begins.
+pub fn finished_jobs(case: &str, trouble: Trouble) -> u32 {
+    if case == "long-run" && trouble != Trouble::None { FINISHED_JOBS } else { 0 }
+}
+
 /// Which disruptions a case has; the variable `TROUBLE` says it.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Trouble {
@@ -59,6 +65,7 @@
         "cut-leader" => stale_leader(world, any, Stale::Cut).await,
         "cancel-crash" => cancelled_on_hung_machine(world, trouble, Late::Crash).await,
         "cancel-round" => cancelled_on_hung_machine(world, trouble, Late::Round).await,
+        "long-run" => long_run(world, any).await,
         "explore" => explore::run(world, any).await,
         _ => Verdict::CouldNotRun(format!("there is no case {case}")),
     }
@@ -334,3 +341,80 @@
     }
     if world.violations.borrow().is_empty() { Verdict::Held } else { Verdict::Broken }
 }
+
+/// Jobs that the classes of `pecos-preview-audio-hunt` submit in 4.3 days.
+const FINISHED_JOBS: u32 = 550_000;
+/// Hunt page: "a job about which no question is answered for 75 s counts as forgotten".
+const FORGOTTEN_S: f64 = 75.0;
+/// "back about 4 s after an end".
+const RESTART_S: f64 = 4.0;
+
+/// A deployment has finished many jobs. All controllers crash once: the case begins when they are
+/// back. Without the trouble they have run all the time, and the same jobs end while they do.
+///
+/// The platform ends a controller that holds more memory than its limit, and starts it again.
+async fn long_run(world: Rc<World>, trouble: bool) -> Verdict {
+    let waiting = preview_cut("job-900000", 2, 5.0);
+    if trouble {
+        world.accept_before(&waiting);
+    } else {
+        if world.wait_for_leader(None, 10.0).await.is_none() || !world.submit(&waiting).await {
+            return Verdict::CouldNotRun("the service does not start".into());
+        }
+        let world = world.clone();
+        spawn_local(async move {
+            for first in (0..FINISHED_JOBS).step_by(500) {
+                world.finish_jobs(first..first + 500);
+                sleep(seconds(0.07)).await;
+            }
+        });
+    }
+    let asked = [waiting.id.clone(), "job-000007".parse().expect("an id")];
+    let mut answered_at = [world.now(); 2];
+    let mut restart_at: Vec<Option<f64>> = vec![None; world.site.nodes];
+    let mut memory_kills = 0;
+    let end = world.now() + if trouble { FORGOTTEN_S + 5.0 } else { 95.0 };
+    let mut next_question_at = 0.0;
+    while world.now() < end {
+        sleep(seconds(0.25)).await;
+        for node in 0..world.site.nodes {
+            if let Some(memory) = world.memory_mb(node).filter(|mb| *mb > world.site.ram_mb) {
+                world.note(&format!("berth-{node} holds {memory:.0} MB: ended by the platform"));
+                world.kill_node(node);
+                restart_at[node] = Some(world.now() + RESTART_S);
+                memory_kills += 1;
+            }
+            if restart_at[node].is_some_and(|at| world.now() >= at) {
+                restart_at[node] = None;
+                world.start_node(node);
+            }
+        }
+        if world.now() < next_question_at {
+            continue;
+        }
+        next_question_at = world.now() + 2.0;
+        let memory: Vec<Option<f64>> =
+            (0..world.site.nodes).map(|node| world.memory_mb(node).map(f64::round)).collect();
+        world.note(&format!("memory in MB: {memory:?}"));
+        for (job, answered_at) in asked.iter().zip(&mut answered_at) {
+            let path = format!("/api/jobs/{job}");
+            // Without a healthy node the load balancer has nobody to ask; users try any node.
+            let node = rand::random_range(0..world.site.nodes);
+            for node in [None, Some(node)] {
+                if let Some((_, 200, _)) = world.ask(node, "GET", &path, &[], 2.0).await {
+                    *answered_at = world.now();
+                }
+            }
+            let silent_s = world.now() - *answered_at;
+            if silent_s > FORGOTTEN_S && world.violations.borrow().len() < 2 {
+                world.violation(format!(
+                    "forgotten: no question about {job} is answered for {silent_s:.0} s"
+                ));
+            }
+        }
+    }
+    if memory_kills > 0 {
+        world.violation(format!("controllers ended for memory {memory_kills} times"));
+    }
+    if world.violations.borrow().is_empty() { Verdict::Held } else { Verdict::Broken }
+}
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -31,7 +31,8 @@
         let Some((site, machines, spare)) = cases::setting(case) else {
             return Verdict::CouldNotRun(format!("there is no case {case}"));
         };
-        let world = world::World::start(site, record, machines, spare).await;
+        let finished = cases::finished_jobs(case, trouble);
+        let world = world::World::start(site, record, machines, spare, finished).await;
         for node in 0..world.site.nodes {
             world.start_node(node);
         }
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -30,6 +30,7 @@
     fs::{self, File},
     io::Write,
     net::SocketAddr,
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, Stdio},
     rc::Rc,
@@ -156,6 +157,38 @@
     }
 }
 
+/// Limits under which the stand-in of the state service takes what was written before a case.
+const NO_LIMITS: StoreLimits = StoreLimits {
+    rps: f64::INFINITY,
+    write_rps: f64::INFINITY,
+    txn_ops: usize::MAX / 8,
+    value: 64 * 1024,
+};
+
+fn store_limits(site: &Site) -> StoreLimits {
+    StoreLimits {
+        rps: site.store_rps,
+        write_rps: site.write_rps,
+        txn_ops: site.txn_ops,
+        value: (site.value_kb * 1024.0) as usize,
+    }
+}
+
+/// Writes what a controller writes for a job that is done: only the final state stays.
+fn add_finished_jobs(store: &mut FakeStore, numbers: Range<u32>) {
+    let numbers: Vec<u32> = numbers.collect();
+    for chunk in numbers.chunks(500) {
+        let writes = chunk.iter().map(|number| StoreWrite::Put {
+            key: format!("{}job-{number:06}", keys::FINAL_STATE_PREFIX),
+            value: "done".into(),
+            lease: None,
+        });
+        let transaction = Transaction { preconditions: Vec::new(), writes: writes.collect() };
+        let outcome = store.call(0.0, 0, &StoreRequest::Commit(transaction));
+        assert!(matches!(outcome, StoreOutcome::Committed(_)), "{outcome:?}");
+    }
+}
+
 async fn listen() -> (TcpListener, u16) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let port = listener.local_addr().expect("an address").port();
@@ -170,8 +203,15 @@
 
 impl World {
     /// Starts the stand-ins. The cloud has `machines` machines, all of them rented and up for
-    /// five minutes, and `spare` further ones, half of them cheap.
-    pub async fn start(site: Site, record: &str, machines: u32, spare: u32) -> Rc<World> {
+    /// five minutes, and `spare` further ones, half of them cheap. The state service holds what the
+    /// controllers have written there for `finished_jobs` jobs that are long done.
+    pub async fn start(
+        site: Site,
+        record: &str,
+        machines: u32,
+        spare: u32,
+        finished_jobs: u32,
+    ) -> Rc<World> {
         let dir = std::env::temp_dir().join(format!("gladekeel-review-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a temporary folder");
         let zones = site.zones.clone();
@@ -183,12 +223,9 @@
             capacity.insert(((*zone).to_owned(), true), of_zone(spare) - of_zone(spare) / 2);
         }
         let cloud = FakeCloud::new(vec![site.machine.clone()], capacity, site.list_lag_s);
-        let store = FakeStore::new(StoreLimits {
-            rps: site.store_rps,
-            write_rps: site.write_rps,
-            txn_ops: site.txn_ops,
-            value: (site.value_kb * 1024.0) as usize,
-        });
+        let mut store = FakeStore::new(NO_LIMITS);
+        add_finished_jobs(&mut store, 0..finished_jobs);
+        store.lower_limits(store_limits(&site));
         let mut ports = Vec::new();
         let mut servers = Vec::new();
         for node in 0..site.nodes {
@@ -369,6 +406,36 @@
         }
     }
 
+    /// The memory that a controller's process holds itself, without the program's file, in MB.
+    pub fn memory_mb(&self, node: usize) -> Option<f64> {
+        let pid = self.processes.borrow()[node].as_ref().map(Child::id)?;
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let kilobytes: f64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+        Some(kilobytes * 1024.0 / 1e6)
+    }
+
+    /// Writes the final states of jobs that end while the controllers run.
+    pub fn finish_jobs(&self, numbers: Range<u32>) {
+        let mut store = self.store.borrow_mut();
+        store.lower_limits(NO_LIMITS);
+        add_finished_jobs(&mut store, numbers);
+        store.lower_limits(store_limits(&self.site));
+    }
+
+    /// Writes a job that was accepted, as a controller writes it.
+    pub fn accept_before(&self, spec: &JobSpec) {
+        let mut value = serde_json::to_value(spec).expect("serialises");
+        value[keys::ACCEPTED_AT] = 1.0.into();
+        let put = StoreWrite::Put { key: keys::job(&spec.id), value, lease: None };
+        let transaction = Transaction { preconditions: Vec::new(), writes: vec![put] };
+        let mut store = self.store.borrow_mut();
+        store.lower_limits(NO_LIMITS);
+        store.call(self.now(), 0, &StoreRequest::Commit(transaction));
+        store.lower_limits(store_limits(&self.site));
+        self.jobs.borrow_mut().insert(spec.id.clone(), spec.clone());
+    }
+
     /// Nodes whose process has ended by itself.
     pub fn ended_nodes(&self) -> Vec<usize> {
         let mut processes = self.processes.borrow_mut();
