--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -342,8 +342,8 @@
     if world.violations.borrow().is_empty() { Verdict::Held } else { Verdict::Broken }
 }
 
-/// Jobs that the classes of `pecos-preview-audio-hunt` submit in 4.3 days.
-const FINISHED_JOBS: u32 = 550_000;
+/// Jobs that the classes of `pecos-preview-audio-hunt` submit in 4.7 days.
+const FINISHED_JOBS: u32 = 600_000;
 /// Hunt page: "a job about which no question is answered for 75 s counts as forgotten".
 const FORGOTTEN_S: f64 = 75.0;
 /// "back about 4 s after an end".
@@ -365,7 +365,7 @@
         spawn_local(async move {
             for first in (0..FINISHED_JOBS).step_by(500) {
                 world.finish_jobs(first..first + 500);
-                sleep(seconds(0.07)).await;
+                sleep(seconds(0.06)).await;
             }
         });
     }
@@ -373,7 +373,7 @@
     let mut answered_at = [world.now(); 2];
     let mut restart_at: Vec<Option<f64>> = vec![None; world.site.nodes];
     let mut memory_kills = 0;
-    let end = world.now() + if trouble { FORGOTTEN_S + 5.0 } else { 95.0 };
+    let end = world.now() + if trouble { FORGOTTEN_S + 5.0 } else { 100.0 };
     let mut next_question_at = 0.0;
     while world.now() < end {
         sleep(seconds(0.25)).await;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,7 +1,11 @@
 //! The cases of the review: `review-harness CASE RECORD`, run from the root of the repository.
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
-//! With `TROUBLE=0` in the environment the case runs without its disruption.
+//! With `TROUBLE=0` in the environment the case runs without its disruption. `KEEP_LOGS=1` keeps the
+//! temporary folder with the settings and logs of the controllers.
+//!
+//! Cases: `long-run` (review/1), `frozen-leader` (review/2) and its variant `cut-leader`,
+//! `cancel-crash` (review/3) and its variant `cancel-round`, and `explore` (random disruptions).
 
 mod cases;
 mod world;
