--- a/crates/gladekeel-testkit/tests/known_failures.rs
+++ b/crates/gladekeel-testkit/tests/known_failures.rs
@@ -52,9 +52,9 @@
 "#;
 
 /// A `KNOWN-RED.txt` that lists all failing tests of the package, so that the script succeeds.
-const COMPLETE_LIST: &str = "tests::bad | a fault | #1\n\
-    tests::bad_too | another fault | #2\n\
-    scenario:weather/stormy | bad weather | #3\n";
+const COMPLETE_LIST: &str = "tests::bad | cargo test, no seed | a fault | #1\n\
+    tests::bad_too | cargo test, no seed | another fault | #2\n\
+    scenario:weather/stormy | cargo test, seed 7 | bad weather | #3\n";
 
 struct Outcome {
     passed: bool,
@@ -117,8 +117,8 @@
     let outcome = run_script("complete", Some(COMPLETE_LIST), &[("SCENARIO", "calm")]);
     assert!(outcome.passed, "{}", outcome.output);
     for line in [
-        "known to fail, fails: tests::bad (a fault; #1)",
-        "known to fail, fails: scenario:weather/stormy (bad weather; #3)",
+        "known to fail, fails: tests::bad (cargo test, no seed; a fault; #1)",
+        "known to fail, fails: scenario:weather/stormy (cargo test, seed 7; bad weather; #3)",
         "test tests::good ... ok",
     ] {
         assert!(outcome.output.contains(line), "{line}: {}", outcome.output);
@@ -137,7 +137,11 @@
         assert!(outcome.output.contains("test tests::bad ... FAILED"), "{}", outcome.output);
     }
     // `tests::bad` is a prefix of `tests::bad_too`.
-    assert_fails("empty", "tests::bad | a fault | #1", "test tests::bad_too ... FAILED");
+    assert_fails(
+        "empty",
+        "tests::bad | cargo test | a fault | #1",
+        "test tests::bad_too ... FAILED",
+    );
     // Both tests are listed, but not the failing scenario.
     let tests: String = COMPLETE_LIST.lines().take(2).map(|line| format!("{line}\n")).collect();
     assert_fails("empty", &tests, "test all_scenarios ... FAILED");
@@ -156,9 +160,9 @@
         ("scenario:stormy", "no such scenario: scenario:stormy"),
         ("scenario:none", "no such scenario: scenario:none"),
     ] {
-        assert_fails("stale", &format!("{test} | a cause | #1\n"), message);
+        assert_fails("stale", &format!("{test} | cargo test | a fault | #1\n"), message);
     }
-    let list = "tests::aborts | a cause | #1";
+    let list = "tests::aborts | cargo test | a fault | #1";
     let outcome = run_script("stale", Some(list), &[("ABORT", "1")]);
     assert!(!outcome.passed);
     assert!(outcome.output.contains("did not run to its end: tests::aborts"), "{}", outcome.output);
@@ -168,11 +172,20 @@
 /// twice, or with more than three tests.
 #[test]
 fn a_malformed_or_too_long_list_fails_the_run() {
-    for line in ["tests::bad", "tests::bad | a fault", "tests::bad | | #1", " | a | #1", "a|b|c|d"]
-    {
+    for line in [
+        "tests::bad",
+        "tests::bad | a fault",
+        "tests::bad | a fault | #1",
+        "tests::bad | cargo test | a fault |",
+        "tests::bad | cargo test | | #1",
+        "tests::bad | | a fault | #1",
+        " | cargo test | a fault | #1",
+        "tests::bad | cargo test | a fault | #1 | more",
+        "tests::bad | cargo test | a fault | #1 |",
+    ] {
         assert_fails("malformed", &format!("{line}\n"), "malformed, expected");
     }
     assert_fails("malformed", &COMPLETE_LIST.replace("bad_too", "bad"), "listed twice: tests::bad");
-    let four = format!("{COMPLETE_LIST}tests::good | a fourth | #4\n");
+    let four = format!("{COMPLETE_LIST}tests::good | cargo test | a fourth | #4\n");
     assert_fails("malformed", &four, "lists 4 tests, at most 3 may be");
 }
