Node: the time of day is read with every tick; scenarios set leases and clock errors

A node took the time of day once, at its start, and counted on with its own clock.

Scenarios get the keys lease_s, cancel_s and clock_error_ms, so that they can use the times of a deployment and wall clocks that are off.

--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -63,7 +63,8 @@
     /// The deployment's settings. Each limit of the store is the lower of its current value and the
     /// value that the store has announced.
     deployment: Rc<Deployment>,
-    /// The Unix time at which the node's clock was 0, in seconds.
+    /// The Unix time at which the node's clock was 0, in seconds, as of the last tick with a time of
+    /// day: the two clocks drift apart.
     epoch: f64,
     rng: StdRng,
     runtime_settings: RuntimeSettings,
@@ -137,6 +138,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Sets the time of day, in seconds of Unix time. The time on the node's clock is `now`.
+    pub fn set_wall_clock(&mut self, now: f64, unix_time: f64) {
+        self.epoch = unix_time - now;
+    }
+
     /// The leader's state while this node leads; `None` otherwise.
     pub fn leader(&self) -> Option<&Leader> {
         self.leadership.leader()
--- a/crates/gladekeel-controller/src/shell/mod.rs
+++ b/crates/gladekeel-controller/src/shell/mod.rs
@@ -81,13 +81,12 @@
         seed: u64,
         tasks: &mut JoinSet<()>,
     ) -> Shell {
-        let wall_clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shell {
             started_at: Instant::now(),
             requests: PendingRequests::default(),
             calls: OutgoingCalls::new(&settings.services, sockets.worker_calls),
             peers: PeerSenders::spawn(&settings.peers, sockets.peer_queue_capacity(), tasks),
-            node: RefCell::new(Node::new(settings.clone(), seed, wall_clock.as_secs_f64())),
+            node: RefCell::new(Node::new(settings.clone(), seed, unix_time_s())),
         }
     }
 
@@ -96,6 +95,12 @@
         self.started_at.elapsed().as_secs_f64()
     }
 
+    /// Passes the time of day to the node.
+    fn set_wall_clock(&self) {
+        let now = self.now_s();
+        self.node.borrow_mut().set_wall_clock(now, unix_time_s());
+    }
+
     /// The number of open connections by use. `inbound` counts the inbound connections.
     fn socket_usage(&self, inbound: &ConnectionCounts) -> SocketUsage {
         SocketUsage {
@@ -151,3 +156,8 @@
         spawn_local(async move { call(shell, Duration::from_secs_f64(timeout_s)).await });
     }
 }
+
+/// The time of day, in seconds of Unix time.
+fn unix_time_s() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
--- a/crates/gladekeel-controller/src/shell/tick_loop.rs
+++ b/crates/gladekeel-controller/src/shell/tick_loop.rs
@@ -16,8 +16,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Passes a tick to the node every [`TICK_INTERVAL`]. Before each tick, limits the pool of
-/// connections to workers to the sockets that the inbound connections leave unused, and records the
-/// socket usage for the metrics.
+/// connections to workers to the sockets that the inbound connections leave unused, records the
+/// socket usage for the metrics, and passes on the time of day.
 pub(super) async fn run(shell: Rc<Shell>, sockets: SocketBudget, inbound: Rc<ConnectionCounts>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -25,6 +25,7 @@
         ticks.tick().await;
         shell.calls.resize_worker_pool(sockets.max_worker_calls(inbound.open()));
         shell.node.borrow_mut().record_sockets(shell.socket_usage(&inbound));
+        shell.set_wall_clock();
         tick(&shell);
     }
 }
--- a/crates/gladekeel-testkit/src/scenario/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/mod.rs
@@ -39,6 +39,8 @@
 //! | `list_lag_s` | Age of the state that the cloud's list of machines shows; 4. |
 //! | `team_quota_factor` | Factor by which the teams' guaranteed CPUs and limits are multiplied; 1. |
 //! | `heartbeat_interval_s` | Time between heartbeats of a worker; as in the example settings. |
+//! | `lease_s`, `cancel_s` | Duration of a worker's lease, and the cancellation deadline; as in the example settings. |
+//! | `clock_error_ms` | Error of the nodes' wall clocks, which are ahead and behind in turn, and the bound on it in the settings; as in the example settings, without an error. |
 //! | `worker_step_s` | Time between steps of the simulated workers and gangs; 0.1. |
 //! | `gang_wait_s`, `gang_peer_s` | The fields of [`GangTimes`]; 30 and 4. |
 //! | `value_kb`, `write_rps`, `txn_ops` | Limits of the store; as in the example settings. |
--- a/crates/gladekeel-testkit/src/scenario/world.rs
+++ b/crates/gladekeel-testkit/src/scenario/world.rs
@@ -39,6 +39,7 @@
     let mut sim = Simulation::new(settings, store, cloud, seed);
     sim.duplicated_request_share = options.number_or("duplicated_request_share", 0.0)?;
     sim.duplicated_heartbeat_share = options.number_or("duplicated_heartbeat_share", 0.0)?;
+    sim.set_clock_error(options.number_or("clock_error_ms", 0.0)? / 1000.0);
     sim.worker_step_s = options.number_or("worker_step_s", sim.worker_step_s)?;
     sim.start_tasks_twice = options.contains("start_tasks_twice");
     sim.gang_wait_s = gang_times.wait_s;
@@ -78,6 +79,11 @@
     let workers = &mut deployment.workers;
     workers.heartbeat_interval_s =
         options.number_or("heartbeat_interval_s", workers.heartbeat_interval_s)?;
+    workers.lease_s = options.number_or("lease_s", workers.lease_s)?;
+    workers.cancellation_deadline_s =
+        options.number_or("cancel_s", workers.cancellation_deadline_s)?;
+    deployment.clock_error_bound_ms =
+        options.number_or("clock_error_ms", deployment.clock_error_bound_ms)?;
     let store = &mut deployment.store;
     store.value_kb = options.number_or("value_kb", store.value_kb)?;
     store.write_rps = options.number_or("write_rps", store.write_rps)?;
--- a/crates/gladekeel-testkit/src/simulation/mod.rs
+++ b/crates/gladekeel-testkit/src/simulation/mod.rs
@@ -54,6 +54,8 @@
     /// Number of times the node was started. Events for an earlier process of the node are dropped.
     incarnation: u64,
     started_at: f64,
+    /// How far the wall clock of the host is ahead of the true time, in seconds.
+    clock_error_s: f64,
     /// Time until which the process is paused, while its clock runs on.
     paused_until: f64,
     pending_requests: BTreeMap<RequestId, ResponseHandler>,
@@ -68,6 +70,7 @@
             settings,
             incarnation: 0,
             started_at: 0.0,
+            clock_error_s: 0.0,
             paused_until: 0.0,
             pending_requests: BTreeMap::new(),
             next_request: 0,
--- a/crates/gladekeel-testkit/src/simulation/nodes.rs
+++ b/crates/gladekeel-testkit/src/simulation/nodes.rs
@@ -15,11 +15,24 @@
         host.started_at = self.now;
         host.paused_until = self.now;
         host.pending_requests.clear();
-        host.process = Some(Node::new(host.settings.clone(), seed, host.started_at));
+        let wall_clock = host.started_at + host.clock_error_s;
+        host.process = Some(Node::new(host.settings.clone(), seed, wall_clock));
         let incarnation = host.incarnation;
         self.tick(node, incarnation);
     }
 
+    /// Sets how far each node's wall clock is off, ahead and behind in turn, for nodes that are
+    /// started from now on and those that run.
+    pub fn set_clock_error(&mut self, error_s: f64) {
+        for (index, host) in self.nodes.iter_mut().enumerate() {
+            host.clock_error_s = if index % 2 == 0 { error_s } else { -error_s };
+            let now = self.now - host.started_at;
+            if let Some(process) = &mut host.process {
+                process.set_wall_clock(now, self.now + host.clock_error_s);
+            }
+        }
+    }
+
     /// Pauses the process of a node. Events that reach the node while it is paused are handled
     /// when the pause ends.
     pub fn pause(&mut self, node: usize, duration_s: f64) {
