Controller: the deadline of a cancellation outlasts the controllers

What callers saw: a machine hung with two tasks of a job, the job was cancelled and its user told, and all controllers crashed 5 s later.

Cause: the time of a cancellation was in memory only. A controller that found the cancellation in its first read counted heartbeat timeout + 2 s from the beginning of its term, and looked once per cycle. A leader that hears from no machine resigns after the same time, looked at with every tick, so each leader resigned first and the next began to wait anew: terms of 16.8 s in the trace.

Change: the controllers write marks into the store, a time of day every cancel_s / 12, as a ring of 24 keys. The store numbers all changes, so each change with a higher number was made after the mark was sent. A controller takes the time of a cancellation in its first read from the marks. A mark costs the same however many jobs are cancelled, also covers cancellations by earlier versions, and stays true if it is written late. A cancellation older than all marks counts from when the process loaded the store, not from the term. A leader deletes no machine because of a cancellation in its first 3 s, counted through changes of the token, and probes the machines concerned meanwhile; a leader that hears nothing now leads for longer than that by construction. If the deadline passed before it led, a machine that it has seen gets a heartbeat timeout + 2 s.

--- a/crates/gladekeel-controller/src/keys.rs
+++ b/crates/gladekeel-controller/src/keys.rs
@@ -9,6 +9,7 @@
 //! | `gk/types/<n>` | the machine types that do not fit into `gk/types` | the leader |
 //! | `gk/options` | runtime settings by name | any node, for an operator |
 //! | `gk/drain/<machine>` | `true`: an operator has ordered the machine to drain | any node, for an operator |
+//! | `gk/clock/<slot>` | a time in seconds of Unix time, see [`crate::revision_clock`] | any node |
 //! | `gl/<slot>` | a segment, see [`crate::assignment_log`] | the leader |
 //!
 //! Every node replicates the keys under `gk/`. Only a node that becomes the leader reads those
@@ -34,6 +35,8 @@
 pub const ACCEPTED_AT: &str = "accepted_at";
 /// Prefix of the keys of jobs' final states.
 pub const FINAL_STATE_PREFIX: &str = "gk/fate/";
+/// Prefix of the keys of the revision clock's slots.
+pub const REVISION_CLOCK_PREFIX: &str = "gk/clock/";
 /// Prefix of the keys of the assignment log's slots.
 pub const ASSIGNMENT_LOG_PREFIX: &str = "gl/";
 /// Prefix of the keys under which the first version stored assignments.
@@ -65,6 +68,16 @@
     if rest.is_empty() { Some(0) } else { rest.strip_prefix('/')?.parse().ok() }
 }
 
+/// The key of a slot of the revision clock.
+pub fn clock_slot(slot: u32) -> String {
+    format!("{REVISION_CLOCK_PREFIX}{slot:02}")
+}
+
+/// The slot of the revision clock that a key holds; `None` for any other key.
+pub fn parse_clock_slot(key: &str) -> Option<u32> {
+    key.strip_prefix(REVISION_CLOCK_PREFIX)?.parse().ok()
+}
+
 /// The key of a slot of the assignment log.
 pub fn log_slot(slot: u32) -> String {
     format!("{ASSIGNMENT_LOG_PREFIX}{slot:06}")
--- a/crates/gladekeel-controller/src/leader/cluster_state.rs
+++ b/crates/gladekeel-controller/src/leader/cluster_state.rs
@@ -15,6 +15,9 @@
 /// rebuilds it from heartbeats and the cloud's lists.
 #[derive(Debug, Default)]
 pub struct ClusterState {
+    /// Since when this node has led without interruption, in seconds on the node's clock; `None`
+    /// before its first term. A new fencing token is no interruption.
+    pub(super) leading_since: Option<f64>,
     /// The names of zones, machine types and images, to which the other fields refer by index. This
     /// field is filled only between two terms; during a term the leader itself holds the catalog.
     pub(super) catalog: Catalog,
--- a/crates/gladekeel-controller/src/leader/failure_detection/cancellation_deadline.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/cancellation_deadline.rs
@@ -3,47 +3,95 @@
 //! On most unreachable machines, the expiry of the lease stops the tasks in time. A machine that
 //! hangs does not act on the expiry of its lease while it hangs, but a machine that the cloud has
 //! deleted certainly runs nothing ("Cancelled work ends in time" in `docs/safety.md`).
+//!
+//! The time at which a machine is deleted depends on the cancellation, and on when this process
+//! loaded the store and began to lead. A new fencing token does not change it, and a new leader
+//! comes to the same time or adds [`TAKEOVER_REPORT_S`], which is shorter than any term that a
+//! resignation ends. A series of short terms therefore does not put the deletion off.
 
 use super::thresholds::deletion_due_at;
 use crate::leader::{AssignmentPhase, Leader, machine::DeletionReason};
 use gladekeel_sched::{JobIdx, MachineIdx};
 
-/// How much longer than the heartbeat timeout a new leader that does not know when a job was
-/// cancelled waits before it deletes machines, in seconds. Heartbeats that arrive during this wait
-/// can show that the job's tasks are gone.
-const TAKEOVER_MARGIN_S: f64 = 2.0;
+/// How much longer than the heartbeat timeout machines may report that they have stopped the tasks
+/// if a job was cancelled at an unknown time or its deadline had passed before this node led, in
+/// seconds.
+const REPORT_MARGIN_S: f64 = 2.0;
+/// For how long a new leader waits for reports before it deletes machines because of a cancellation,
+/// in seconds.
+pub const TAKEOVER_REPORT_S: f64 = 3.0;
+
+/// When machines that may run tasks of a cancelled job are deleted, in seconds on the node's clock.
+#[derive(Debug, Clone, Copy)]
+struct DeletionTimes {
+    /// For machines that this leader has seen.
+    seen: f64,
+    /// For machines that this leader has not seen. It is not later than `seen`.
+    unseen: f64,
+}
+
+impl DeletionTimes {
+    fn at(at: f64) -> DeletionTimes {
+        DeletionTimes { seen: at, unseen: at }
+    }
+}
 
 impl Leader {
     /// Marks for deletion the machines that may run tasks of a cancelled job past the job's
-    /// cancellation deadline. The leader calls this function after each pass of the failure
-    /// detector.
+    /// cancellation deadline, and probes machines that this leader has not seen yet. The leader
+    /// calls this function after each pass of the failure detector.
     pub(in crate::leader) fn enforce_cancellation_deadlines(&mut self, now: f64) {
         let mut overdue_machines = Vec::new();
+        let mut unseen_machines = Vec::new();
         for job_idx in &self.cancelled_jobs_on_machines {
-            if self.is_cancellation_overdue(*job_idx, now) {
-                overdue_machines.extend(self.machines_with_committed_attempts(*job_idx));
+            let Some(times) = self.deletion_times(*job_idx) else { continue };
+            if now < self.leading_since + TAKEOVER_REPORT_S {
+                unseen_machines.extend(
+                    self.machines_with_committed_attempts(*job_idx)
+                        .filter(|machine_idx| !self.was_machine_seen(*machine_idx)),
+                );
+            } else if now >= times.unseen {
+                overdue_machines.extend(self.machines_with_committed_attempts(*job_idx).filter(
+                    |machine_idx| now >= times.seen || !self.was_machine_seen(*machine_idx),
+                ));
             }
         }
         self.cancelled_jobs_on_machines.retain(|job_idx| {
             self.jobs.contains_key(job_idx) && !self.attempts.of_job(*job_idx).is_empty()
         });
+        for machine_idx in unseen_machines {
+            self.commands.request_probe(machine_idx);
+        }
         for machine_idx in overdue_machines {
             let reason = DeletionReason::CancelledTaskMayRun;
             self.cluster.mark_for_deletion(now, machine_idx, reason);
         }
     }
 
-    /// Whether the machines that may still run tasks of a cancelled job must be deleted now.
-    fn is_cancellation_overdue(&self, job_idx: JobIdx, now: f64) -> bool {
-        let Some(job) = self.jobs.get(&job_idx) else { return false };
+    /// When the machines that may still run tasks of a cancelled job must be deleted. `None` if
+    /// there is no such job.
+    fn deletion_times(&self, job_idx: JobIdx) -> Option<DeletionTimes> {
+        let job = self.jobs.get(&job_idx)?;
         let workers = &self.deployment.workers;
-        let due_at = match job.cancelled_no_earlier_than {
-            f64::NEG_INFINITY => {
-                self.term_started_at + workers.heartbeat_timeout_s() + TAKEOVER_MARGIN_S
-            }
-            cancelled_at => deletion_due_at(cancelled_at, workers.cancellation_deadline_s),
+        let report_s = workers.heartbeat_timeout_s() + REPORT_MARGIN_S;
+        let takeover_ends_at = self.leading_since + TAKEOVER_REPORT_S;
+        let Some(cancelled_at) = job.cancelled_no_earlier_than else {
+            return Some(DeletionTimes::at(
+                (self.store_loaded_at + report_s).max(takeover_ends_at),
+            ));
         };
-        now >= due_at
+        let deadline_s = workers.cancellation_deadline_s;
+        if cancelled_at + deadline_s <= self.leading_since {
+            // A machine that is seen does not hang, so its lease has ended the tasks in time.
+            let seen = self.leading_since + report_s;
+            return Some(DeletionTimes { seen, unseen: takeover_ends_at });
+        }
+        Some(DeletionTimes::at(deletion_due_at(cancelled_at, deadline_s).max(takeover_ends_at)))
+    }
+
+    fn was_machine_seen(&self, machine_idx: MachineIdx) -> bool {
+        let machine = self.cluster.machines.get(&machine_idx);
+        machine.is_some_and(|machine| machine.liveness.was_seen())
     }
 
     fn machines_with_committed_attempts(
--- a/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
@@ -13,3 +13,5 @@
 mod observation;
 pub(in crate::leader) mod reachability;
 mod thresholds;
+
+pub use cancellation_deadline::TAKEOVER_REPORT_S;
--- a/crates/gladekeel-controller/src/leader/job/mod.rs
+++ b/crates/gladekeel-controller/src/leader/job/mod.rs
@@ -60,11 +60,11 @@
     /// leader's view of the store does not show the cancellation yet.
     pub cancellation_pending: bool,
     /// For a cancelled job, the time on the node's clock at which the period begins within which
-    /// the tasks must be off their machines; negative infinity if no such time is known. The exact
+    /// the tasks must be off their machines; `None` if no such time is known. The exact
     /// time of the cancellation is not known: the value is a time at which the job was not
     /// cancelled yet or, if this node committed the cancellation for a user, the time of the
     /// store's response.
-    pub cancelled_no_earlier_than: f64,
+    pub cancelled_no_earlier_than: Option<f64>,
     /// Tasks that have completed.
     pub done: TaskBitmap,
     /// Tasks that were restarted as stragglers; no task is restarted a second time.
@@ -117,7 +117,7 @@
             zone: spec.zone.as_ref().map(|zone| catalog.zones.intern(zone)),
             final_state: None,
             cancellation_pending: false,
-            cancelled_no_earlier_than: f64::NEG_INFINITY,
+            cancelled_no_earlier_than: None,
             done: TaskBitmap::default(),
             restarted: TaskBitmap::default(),
             preempted: TaskBitmap::default(),
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -43,7 +43,7 @@
 pub use cluster_state::ClusterState;
 pub use commands::{WorkerOutcome, WorkerRequest};
 pub use counters::LeaderCounters;
-pub use failure_detection::reachability::TimeWithoutMessages;
+pub use failure_detection::{TAKEOVER_REPORT_S, reachability::TimeWithoutMessages};
 pub use job::{FailureBackoff, Job, RunTimeHistory, TaskQueue, ZonePlacement};
 pub use machine::{Machine, MachineCondition};
 pub use status::Backlog;
@@ -78,6 +78,8 @@
     pub now: f64,
     /// The time of day at time 0 of the node's clock, in seconds.
     pub epoch: f64,
+    /// When this process first loaded the store, in seconds on the node's clock.
+    pub store_loaded_at: f64,
     /// The settings of the deployment.
     pub deployment: Rc<Deployment>,
     /// A random number drawn for this term, which becomes part of the ids of the term's requests to
@@ -94,6 +96,11 @@
     pub token: u64,
     /// When the term began, in seconds on the node's clock.
     term_started_at: f64,
+    /// Since when this node has led without interruption, under this token or earlier ones, in
+    /// seconds on the node's clock.
+    leading_since: f64,
+    /// When this process first loaded the store, in seconds on the node's clock.
+    store_loaded_at: f64,
     /// The time of day at time 0 of the node's clock, in seconds.
     epoch: f64,
     deployment: Rc<Deployment>,
@@ -173,6 +180,7 @@
             token = leader.token,
             jobs = leader.jobs.len(),
             attempts = leader.attempts.len(),
+            cancelled_jobs = leader.cancelled_jobs_on_machines.len(),
             "leading"
         );
         Ok(leader)
@@ -180,7 +188,7 @@
 
     /// Builds a leader without any jobs or attempts.
     fn without_jobs(store: &StoreView, term: LeaderTerm, mut cluster: ClusterState) -> Leader {
-        let LeaderTerm { token, now, epoch, deployment, request_id_salt } = term;
+        let LeaderTerm { token, now, epoch, store_loaded_at, deployment, request_id_salt } = term;
         let mut catalog = std::mem::take(&mut cluster.catalog);
         catalog.renew(&deployment, store.machine_types.all());
         let reachable_zones = std::mem::take(&mut cluster.reachable_zones);
@@ -188,6 +196,8 @@
         Leader {
             token,
             term_started_at: now,
+            leading_since: *cluster.leading_since.get_or_insert(now),
+            store_loaded_at,
             epoch,
             request_id_salt,
             catalog,
--- a/crates/gladekeel-controller/src/leader/reconciliation/job_changes.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/job_changes.rs
@@ -54,7 +54,7 @@
         let pending_cancellation = store.pending_cancellations.get(id);
         job.cancellation_pending = pending_cancellation.is_some();
         let not_before = store.cancelled_no_earlier_than.get(id).or(pending_cancellation);
-        job.cancelled_no_earlier_than = not_before.copied().unwrap_or(f64::NEG_INFINITY);
+        job.cancelled_no_earlier_than = not_before.copied().filter(|at| at.is_finite());
         job
     }
 
@@ -65,8 +65,7 @@
         let Some(final_state) = store.final_states.get(id).copied() else { return };
         job.final_state = Some(final_state);
         if !job.cancellation_pending {
-            let not_before = store.cancelled_no_earlier_than.get(id).copied();
-            job.cancelled_no_earlier_than = not_before.unwrap_or(f64::NEG_INFINITY);
+            job.cancelled_no_earlier_than = store.cancelled_no_earlier_than.get(id).copied();
         }
         job.cancellation_pending = false;
         self.log_writer.pending().drop_completed_job(job_idx);
@@ -88,7 +87,7 @@
         let job = self.jobs.get_mut(&job_idx).filter(|job| !job.is_finished());
         let Some(job) = job else { return };
         job.cancellation_pending = true;
-        job.cancelled_no_earlier_than = not_before;
+        job.cancelled_no_earlier_than = Some(not_before).filter(|at| at.is_finite());
         self.stop_cancelled_job(job_idx);
     }
 
--- a/crates/gladekeel-controller/src/lib.rs
+++ b/crates/gladekeel-controller/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 pub mod leader;
 pub mod node;
+pub mod revision_clock;
 pub mod runtime_settings;
 pub mod shell;
 pub mod socket_budget;
--- a/crates/gladekeel-controller/src/node/leadership/resignation.rs
+++ b/crates/gladekeel-controller/src/node/leadership/resignation.rs
@@ -7,7 +7,7 @@
 
 use super::{Leadership, Role};
 use crate::{
-    leader::TimeWithoutMessages,
+    leader::{TAKEOVER_REPORT_S, TimeWithoutMessages},
     node::{Node, outgoing_calls::StoreCallPurpose},
 };
 use gladekeel_store::StoreRequest;
@@ -16,8 +16,9 @@
 /// Number of consecutive expected heartbeats, from all machines together, that a leader misses
 /// before it counts as isolated.
 const ISOLATED_AFTER_HEARTBEATS: f64 = 30.0;
-/// Minimum time without messages from any machine before a leader counts as isolated.
-const MIN_ISOLATED_AFTER_S: f64 = 4.0;
+/// Minimum time without messages from any machine before a leader counts as isolated. By then it
+/// has had time to delete machines on which cancelled tasks may run.
+const MIN_ISOLATED_AFTER_S: f64 = TAKEOVER_REPORT_S + 1.0;
 /// Maximum amount by which the result of [`isolated_after_s`] exceeds a worker's heartbeat timeout.
 const HEARTBEAT_TIMEOUT_SLACK_S: f64 = 2.0;
 /// Time for which a node is not a candidate for leadership after its first resignation.
--- a/crates/gladekeel-controller/src/node/leadership/takeover.rs
+++ b/crates/gladekeel-controller/src/node/leadership/takeover.rs
@@ -184,7 +184,14 @@
             None => (None, Vec::new()),
         };
         let deployment = self.deployment.clone();
-        let term = LeaderTerm { token, now, epoch: self.epoch, deployment, request_id_salt };
+        let term = LeaderTerm {
+            token,
+            now,
+            epoch: self.epoch,
+            store_loaded_at: self.store.first_contact().unwrap_or(now),
+            deployment,
+            request_id_salt,
+        };
         let mut leader = Leader::new(view, rows, term, cluster)?;
         for DeferredCloudOutcome { request, outcome } in cloud_outcomes {
             leader.apply_cloud_outcome(now, &request, outcome);
--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -26,6 +26,7 @@
 mod outgoing_calls;
 mod peers;
 mod rate_limits;
+mod revision_marks;
 mod store_reads;
 mod user_requests;
 
@@ -48,6 +49,7 @@
 use peers::Peers;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rate_limits::RateLimits;
+use revision_marks::RevisionMarks;
 use std::rc::Rc;
 use store_reads::StoreReads;
 use user_requests::UserRequests;
@@ -71,6 +73,7 @@
     rate_limits: RateLimits,
     leadership: Leadership,
     store: StoreReads,
+    revision_marks: RevisionMarks,
     user_requests: UserRequests,
     heartbeats: WorkerHeartbeats,
     peers: Peers,
@@ -97,6 +100,7 @@
             rate_limits: RateLimits::new(&deployment, &settings.deployment.store),
             leadership: Leadership::new(record),
             store: StoreReads::default(),
+            revision_marks: RevisionMarks::default(),
             user_requests: UserRequests::new(deployment.store.txn_ops),
             heartbeats: WorkerHeartbeats::new(&deployment, settings.peers.len()),
             peers: Peers::new(&settings),
@@ -206,6 +210,7 @@
             StoreCallPurpose::Election => {
                 self.on_election_outcome(now, sent_at, &request, &outcome);
             }
+            StoreCallPurpose::RevisionMark => self.on_revision_mark_outcome(now),
         }
     }
 
@@ -217,6 +222,7 @@
         self.resign_if_isolated(now);
         self.publish_job_progress(now);
         self.send_peer_heartbeats(now);
+        self.send_revision_mark(now);
     }
 
     fn tick_leader(&mut self, now: f64) {
--- a/crates/gladekeel-controller/src/node/outgoing_calls.rs
+++ b/crates/gladekeel-controller/src/node/outgoing_calls.rs
@@ -12,8 +12,8 @@
 /// Identifies a call of this node until its outcome is known.
 pub type CallId = u64;
 
-/// Timeout of reads of the store, operators' changes and election requests, which can simply be
-/// retried if they time out.
+/// Timeout of reads of the store, operators' changes, election requests and marks of the revision
+/// clock, which can simply be retried if they time out.
 const STORE_READ_TIMEOUT_S: f64 = 1.5;
 /// Timeout of users' and the leader's transactions, and of the takeover's reads of the log. It is
 /// longer than the timeout of other calls because a transaction that has timed out is in doubt,
@@ -62,6 +62,8 @@
     },
     /// Acquire, renew or release leadership.
     Election,
+    /// Write a mark of the revision clock.
+    RevisionMark,
 }
 
 impl StoreCallPurpose {
@@ -73,7 +75,8 @@
             StoreCallPurpose::Read
             | StoreCallPurpose::AdminWrite { .. }
             | StoreCallPurpose::ConfirmCommit { .. }
-            | StoreCallPurpose::Election => STORE_READ_TIMEOUT_S,
+            | StoreCallPurpose::Election
+            | StoreCallPurpose::RevisionMark => STORE_READ_TIMEOUT_S,
         }
     }
 }
--- a/crates/gladekeel-controller/src/node/store_reads/mod.rs
+++ b/crates/gladekeel-controller/src/node/store_reads/mod.rs
@@ -45,6 +45,8 @@
     scheduler: ReadScheduler,
     /// When the last read that brought the replica up to date was sent; `None` if there was none.
     last_contact: Option<f64>,
+    /// The first value of `last_contact`.
+    first_contact: Option<f64>,
     /// Whether the store has been unreachable since the last contact.
     is_unreachable: bool,
 }
@@ -76,6 +78,11 @@
         self.last_contact
     }
 
+    /// When the first read that brought the replica up to date was sent; `None` if there was none.
+    pub fn first_contact(&self) -> Option<f64> {
+        self.first_contact
+    }
+
     /// The time of the last contact; negative infinity if there was none.
     pub fn last_contact_or_never(&self) -> f64 {
         self.last_contact.unwrap_or(f64::NEG_INFINITY)
@@ -93,7 +100,23 @@
         self.last_contact.is_some_and(|contact| now - contact < max_age_s)
     }
 
+    /// The order in which changes are applied. Changes of a watch are in the order in which they
+    /// were made. Those of the first load are in the order of their keys, which puts final states
+    /// before the jobs to which they belong; they are applied after the jobs.
+    fn in_order_of_application<'a>(
+        &self,
+        changes: &'a [Change],
+    ) -> impl Iterator<Item = &'a Change> + use<'a> {
+        let is_first_load = self.last_contact.is_none();
+        let is_deferred = move |change: &Change| {
+            is_first_load && change.key.starts_with(keys::FINAL_STATE_PREFIX)
+        };
+        let undeferred = changes.iter().filter(move |change| !is_deferred(change));
+        undeferred.chain(changes.iter().filter(move |change| is_deferred(change)))
+    }
+
     fn record_contact(&mut self, sent_at: f64) {
+        self.first_contact.get_or_insert(sent_at);
         // The response to a slow read may be received after the response to a later read.
         self.last_contact = Some(self.last_contact.map_or(sent_at, |contact| contact.max(sent_at)));
         self.is_unreachable = false;
@@ -193,13 +216,26 @@
     fn apply_store_changes(&mut self, now: f64, changes: &[Change]) {
         // The previous read did not return these changes, so they were made after that read was
         // sent.
-        let not_before = self.store.last_contact_or_never();
-        for change in changes {
-            let changed = self.store.view.apply(change, not_before);
+        let last_contact = self.store.last_contact_or_never();
+        for change in self.store.in_order_of_application(changes) {
+            let made_after = last_contact.max(self.made_after(now, change));
+            let changed = self.store.view.apply(change, made_after);
             self.on_store_change(now, change, changed);
         }
     }
 
+    /// The time on this node's clock after which the store made a change, according to the
+    /// revision clock; negative infinity if no such time is known. Both the node that wrote the
+    /// mark and this node may be off by the bound on the error of the wall clock.
+    fn made_after(&self, now: f64, change: &Change) -> f64 {
+        let revision = change.current.as_ref().map(|(_, version)| *version);
+        let made_after = revision.and_then(|at| self.store.view.revision_clock.made_after(at));
+        let clock_error_s = 2.0 * self.deployment.clock_error_bound_s();
+        made_after
+            .map_or(f64::NEG_INFINITY, |unix_time| unix_time - self.epoch - clock_error_s)
+            .min(now)
+    }
+
     fn on_store_change(&mut self, now: f64, change: &Change, changed: ChangeKind) {
         if changed == ChangeKind::RuntimeSettings {
             self.runtime_settings = self.stored_runtime_settings();
--- a/crates/gladekeel-controller/src/store_view.rs
+++ b/crates/gladekeel-controller/src/store_view.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     keys::{self, LeaderRecord},
+    revision_clock::RevisionClock,
     stored_types::StoredMachineTypes,
 };
 use gladekeel_store::Change;
@@ -42,6 +43,7 @@
     pub final_states: HashMap<JobId, JobState>,
     /// For each cancelled job in `jobs`, the latest known time on this node's clock at which the
     /// job was not cancelled yet. No user can have been notified of the cancellation before then.
+    /// A cancelled job without an entry was cancelled before every time that this node knows of.
     pub cancelled_no_earlier_than: HashMap<JobId, f64>,
     /// Jobs whose cancellation this node or a peer has committed, but which a read may not have
     /// returned yet. The value is the time on this node's clock from which the cancellation
@@ -59,6 +61,8 @@
     /// The leader and its fencing token, which is the version of [`keys::LEADER`]. `None` if the
     /// key does not exist or its value cannot be read.
     pub leader: Option<(LeaderRecord, u64)>,
+    /// The clock that tells when the store made a change.
+    pub revision_clock: RevisionClock,
     /// The highest fencing token that this node has seen; 0 if it has seen none.
     pub highest_token: u64,
     /// The machine types.
@@ -110,8 +114,8 @@
                 || self.unreadable.contains(&keys::final_state(id)))
     }
 
-    /// Applies a change that was made after the time `made_after` on this node's clock. Returns
-    /// which object the change affects.
+    /// Applies a change that was made after the time `made_after` on this node's clock, which is
+    /// negative infinity if no such time is known. Returns which object the change affects.
     pub fn apply(&mut self, change: &Change, made_after: f64) -> ChangeKind {
         let key = change.key.as_str();
         if let Some(id) = key.strip_prefix(keys::JOB_PREFIX) {
@@ -120,6 +124,9 @@
             self.apply_final_state(id, change, made_after)
         } else if let Some(machine) = key.strip_prefix(keys::DRAIN_PREFIX) {
             self.apply_drain_order(machine, change)
+        } else if let Some(slot) = keys::parse_clock_slot(key) {
+            self.revision_clock.apply(slot, change.current.as_ref());
+            ChangeKind::Other
         } else if let Some(part) = keys::parse_machine_types_part(key) {
             self.apply_machine_types(part, change)
         } else if key.starts_with(keys::LEGACY_ASSIGNMENTS_PREFIX) {
@@ -157,7 +164,8 @@
         if let Some(state) = self.deserialise_or_mark_unreadable::<JobState>(change) {
             // The first final state is never replaced.
             let first = *self.final_states.entry(id.clone()).or_insert(state);
-            if first == JobState::Cancelled && self.jobs.contains_key(&id) {
+            let is_known = self.jobs.contains_key(&id) && made_after.is_finite();
+            if first == JobState::Cancelled && is_known {
                 self.cancelled_no_earlier_than.entry(id.clone()).or_insert(made_after);
             }
             self.job_progress.remove(&id);
--- a/crates/gladekeel-testkit/tests/two_versions/stored_values.rs
+++ b/crates/gladekeel-testkit/tests/two_versions/stored_values.rs
@@ -3,6 +3,7 @@
 
 use super::TestNode;
 use gladekeel_controller::keys;
+use gladekeel_store::{StoreOutcome, StoreRequest};
 use gladekeel_testkit::scenario::example_job;
 use gladekeel_wire::{JobId, admin::VersionedSettings, job::JobState, mesh::PROTOCOL_LEVEL};
 use serde_json::{Value, json};
@@ -106,3 +107,18 @@
     assert_eq!((changed.settings["beta"], changed.settings["idle_s"]), (1.5, 20.0));
     assert!(changed.version > version);
 }
+
+/// Guards against cancellations of unknown age in a mixture with versions that write no marks of
+/// the revision clock: a node of this version writes them while a node of such a version leads.
+#[test]
+fn marks_are_written_under_a_leader_of_an_earlier_version() {
+    let mut node = TestNode::with_peers(&[Some(0), Some(1)]);
+    node.put(keys::LEADER, json!({"node": "node-1", "run": 5}));
+    node.advance(30);
+    assert!(node.leader().is_none());
+    let prefix = keys::REVISION_CLOCK_PREFIX.to_owned();
+    let marks = node.store.call(30.0, 1, &StoreRequest::List { prefix, after: None });
+    let StoreOutcome::Page(page) = marks else { panic!("marks are not listed: {marks:?}") };
+    assert!((3..=5).contains(&page.entries.len()), "{:?}", page.entries);
+    assert!(page.entries.iter().all(|mark| mark.value.is_f64()));
+}
--- a/crates/gladekeel-wire/src/settings/mod.rs
+++ b/crates/gladekeel-wire/src/settings/mod.rs
@@ -148,6 +148,13 @@
 /// Minimum time without a heartbeat before a worker is probed, in seconds.
 const PROBE_MIN_SILENCE_S: f64 = 1.5;
 
+impl Deployment {
+    /// Returns the maximum error of the wall clock, in seconds.
+    pub fn clock_error_bound_s(&self) -> f64 {
+        self.clock_error_bound_ms / 1000.0
+    }
+}
+
 impl WorkerTimings {
     /// Returns the maximum time between the receipt of two heartbeats of a healthy worker, in
     /// seconds.
