Leader: cancellation deadlines and failed machines are checked every second

Cause: the leader checked deadlines and machines once per cycle, for the first time a cycle after its term began. A leader that resigns after 16.5 s never checked at all.

Change: the checks, and the retries of stops without a response, have a timer of their own, which is the cycle interval but at most 1 s.

--- a/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
@@ -1,8 +1,8 @@
 //! Detects machines that have failed, and moves their tasks to other machines.
 //!
-//! The leader runs the [`detector::FailureDetector`] once per cycle interval. From the machines
-//! that were seen and those that respond to probes, the detector decides which machines to probe
-//! and which to delete. A lack of messages from a machine never causes its tasks to be released;
+//! The leader runs the [`detector::FailureDetector`] once per cycle interval, and once a second if
+//! that is longer. From the machines that were seen and those that respond to probes, the detector
+//! decides which machines to probe and which to delete. A lack of messages from a machine never causes its tasks to be released;
 //! only the confirmed deletion of the machine does ("Machines" in `docs/safety.md`). The module
 //! [`evacuation`] releases the tasks of deleted machines, and stops tasks in time on machines that
 //! are about to be reclaimed or deleted.
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -250,14 +250,14 @@
         if self.unsettled_start_needs_new_token(now) {
             self.token_renewal.require(TokenRenewalReason::UnansweredStart);
         }
-        let maintenance_due = self.timers.maintenance_due(now, settings);
-        if maintenance_due {
+        if self.timers.failure_check_due(now, settings) {
             // These steps also run while the leader waits for a new token, which may take as long
             // as an outage of the store.
             self.commands.retry_undelivered_stops();
             self.detect_failures(now, settings, zone, peer_zones);
             self.enforce_cancellation_deadlines(now);
         }
+        let maintenance_due = self.timers.maintenance_due(now, settings);
         if self.token_renewal.is_required() || self.scheduling_suspended {
             return;
         }
--- a/crates/gladekeel-controller/src/leader/timers.rs
+++ b/crates/gladekeel-controller/src/leader/timers.rs
@@ -5,6 +5,9 @@
 /// A tick counts as late if it comes more than this many seconds after the previous tick. Ticks are
 /// due many times a second.
 const MAX_TICK_GAP_S: f64 = 0.5;
+/// Maximum time between two checks for failed machines and cancellation deadlines, in seconds. The
+/// cycle interval, which operators may raise, must not delay them.
+const MAX_FAILURE_CHECK_INTERVAL_S: f64 = 1.0;
 /// A requested scheduling cycle runs early, but not before this fraction of the cycle interval has
 /// passed since the previous cycle.
 const MIN_CYCLE_INTERVAL_FRACTION: f64 = 0.25;
@@ -15,6 +18,7 @@
     last_cycle_at: f64,
     cycle_requested: bool,
     last_maintenance_at: f64,
+    last_failure_check_at: f64,
     last_tick_at: f64,
     last_late_tick_at: f64,
 }
@@ -26,6 +30,7 @@
             last_cycle_at: now,
             cycle_requested: true,
             last_maintenance_at: now,
+            last_failure_check_at: now,
             last_tick_at: now,
             last_late_tick_at: now,
         }
@@ -73,4 +78,15 @@
         }
         is_due
     }
+
+    /// Returns whether the checks for failed machines and cancellation deadlines are due. If so,
+    /// restarts the timer, and the caller must run these checks.
+    pub fn failure_check_due(&mut self, now: f64, settings: &RuntimeSettings) -> bool {
+        let interval_s = settings.cycle_interval_s.min(MAX_FAILURE_CHECK_INTERVAL_S);
+        let is_due = now - self.last_failure_check_at >= interval_s;
+        if is_due {
+            self.last_failure_check_at = now;
+        }
+        is_due
+    }
 }
