Leader: deletions for cancellations are not put off by a new token

What callers saw: a leader that gets a new token reads its log again. If it cannot, because the store goes away in that moment or the log is unreadable, it deleted nothing, although it knew which machines might run cancelled tasks, and they outlived cancel_s.

Cause: the attempts, from which the deletions follow, were dropped with the term, and only a leader sent requests to the cloud. A log that could not be decoded also dropped what was known about the machines.

Change: the machines and times of due deletions are kept between two terms of a node, and the node sends these deletions, and no other request, while it takes over. The log is decoded before the state of the previous term is given up.

--- a/crates/gladekeel-controller/src/leader/assignment_log/mod.rs
+++ b/crates/gladekeel-controller/src/leader/assignment_log/mod.rs
@@ -28,7 +28,6 @@
 mod replay;
 mod writer;
 
-pub use replay::LogRow;
-pub(in crate::leader) use replay::decode_log;
+pub use replay::{DecodedLog, LogRow};
 pub(in crate::leader) use writer::AssignmentLogWriter;
 pub use writer::CommitMarker;
--- a/crates/gladekeel-controller/src/leader/assignment_log/replay.rs
+++ b/crates/gladekeel-controller/src/leader/assignment_log/replay.rs
@@ -31,23 +31,27 @@
 
 /// A decoded segment and the slot that stores it.
 #[derive(Debug)]
-pub(in crate::leader) struct StoredSegment {
+struct StoredSegment {
     slot: Slot,
     segment: Segment,
 }
 
-/// Decodes the log and returns its segments in the order of their sequence numbers.
-///
-/// # Errors
-///
-/// Fails if any segment is unreadable: a running task could be started again if the segment were
-/// skipped.
-pub(in crate::leader) fn decode_log(
-    rows: Vec<LogRow>,
-) -> Result<Vec<StoredSegment>, UnreadableSegment> {
-    let mut segments = rows.into_iter().map(decode_row).collect::<Result<Vec<_>, _>>()?;
-    segments.sort_by_key(|stored| stored.segment.sequence);
-    Ok(segments)
+/// The segments of the log, in the order of their sequence numbers.
+#[derive(Debug)]
+pub struct DecodedLog(Vec<StoredSegment>);
+
+impl DecodedLog {
+    /// Decodes all segments of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if any segment is unreadable: a running task could be started again if the segment
+    /// were skipped.
+    pub fn decode(rows: Vec<LogRow>) -> Result<DecodedLog, UnreadableSegment> {
+        let mut segments = rows.into_iter().map(decode_row).collect::<Result<Vec<_>, _>>()?;
+        segments.sort_by_key(|stored| stored.segment.sequence);
+        Ok(DecodedLog(segments))
+    }
 }
 
 fn decode_row(row: LogRow) -> Result<StoredSegment, UnreadableSegment> {
@@ -69,11 +73,10 @@
 
 impl Leader {
     /// Rebuilds the attempts on machines and the progress of jobs from the log. The caller must
-    /// have added all jobs of the store, and the leader must have no attempts yet. `segments` is
-    /// the result of [`decode_log`].
-    pub(in crate::leader) fn replay(&mut self, segments: Vec<StoredSegment>, now: f64) {
+    /// have added all jobs of the store, and the leader must have no attempts yet.
+    pub(in crate::leader) fn replay(&mut self, log: DecodedLog, now: f64) {
         let mut unreleased = UnreleasedAttempts::new();
-        for stored in segments {
+        for stored in log.0 {
             self.replay_segment(stored, &mut unreleased);
         }
         let assigned = self.restore_attempts(now, unreleased);
--- a/crates/gladekeel-controller/src/leader/autoscaling/cloud_requests/mod.rs
+++ b/crates/gladekeel-controller/src/leader/autoscaling/cloud_requests/mod.rs
@@ -6,11 +6,13 @@
 //! [`Leader::apply_cloud_outcome`].
 //!
 //! - [`queue`] holds the pending requests, the requests in flight, and when to back off;
+//! - [`deletions`] sends the deletions, also while this node is between two terms;
 //! - [`deleted_machines`] holds the machines whose deletion the cloud has confirmed;
 //! - [`inventory`] compares the cloud's list with the machines that the leader knows;
 //! - [`outcomes`] applies the other responses.
 
 mod deleted_machines;
+mod deletions;
 mod inventory;
 mod outcomes;
 mod queue;
@@ -19,8 +21,7 @@
 
 use crate::cloud_api::CloudRequest;
 use crate::leader::Leader;
-use gladekeel_sched::MachineIdx;
-use gladekeel_wire::cloud::{CreateMachinesRequest, MAX_MACHINES_PER_DELETE_REQUEST};
+use gladekeel_wire::cloud::CreateMachinesRequest;
 use queue::NewRent;
 
 impl Leader {
@@ -33,7 +34,7 @@
         }
         let request = self
             .next_machine_types_request(now)
-            .or_else(|| self.next_delete_request(now))
+            .or_else(|| self.cluster.next_delete_request(now))
             .or_else(|| self.next_rent_request(now).map(CloudRequest::Rent))
             .or_else(|| self.next_list_request(now))?;
         self.cluster.cloud.record_sent(&request);
@@ -44,39 +45,6 @@
         self.cluster.cloud.machine_types_due(now).then_some(CloudRequest::ListMachineTypes)
     }
 
-    fn next_delete_request(&mut self, now: f64) -> Option<CloudRequest> {
-        if !self.cluster.cloud.delete_due(now) {
-            return None;
-        }
-        let names = self.take_machines_to_delete();
-        if names.is_empty() {
-            return None;
-        }
-        self.cluster.cloud.record_delete_sent(now);
-        Some(CloudRequest::Delete(names))
-    }
-
-    /// Returns the names of the machines for the next delete request, and marks their deletion as
-    /// requested. Machines with tasks come first, since those machines are lost or about to lose
-    /// their lease. A machine receives no new tasks once its deletion is planned.
-    fn take_machines_to_delete(&mut self) -> Vec<String> {
-        let key = |machine_idx: &MachineIdx| {
-            let machine = self.cluster.machines.get(machine_idx)?;
-            machine.deletion.is_unconfirmed().then_some((machine.is_idle(), *machine_idx))
-        };
-        let mut to_delete: Vec<(bool, MachineIdx)> =
-            self.cluster.leaving.iter().filter_map(key).collect();
-        to_delete.sort_unstable();
-        let mut names = Vec::new();
-        for (_, machine_idx) in to_delete.into_iter().take(MAX_MACHINES_PER_DELETE_REQUEST) {
-            if let Some(machine) = self.cluster.machines.get_mut(&machine_idx) {
-                machine.deletion.request();
-                names.push(machine.name.clone());
-            }
-        }
-        names
-    }
-
     /// Returns a rent request whose retry is due or, if there is none, a new rent request for the
     /// next scale-out.
     fn next_rent_request(&mut self, now: f64) -> Option<CreateMachinesRequest> {
--- a/crates/gladekeel-controller/src/leader/autoscaling/cloud_requests/outcomes.rs
+++ b/crates/gladekeel-controller/src/leader/autoscaling/cloud_requests/outcomes.rs
@@ -10,7 +10,7 @@
 const FAILURE_BACKOFF_S: f64 = 1.0;
 
 /// How long no request is sent after a request has failed with this outcome, in seconds.
-fn backoff_s(outcome: &CloudOutcome) -> f64 {
+pub(super) fn backoff_s(outcome: &CloudOutcome) -> f64 {
     match outcome {
         CloudOutcome::RateLimited => RATE_LIMIT_BACKOFF_S,
         _ => FAILURE_BACKOFF_S,
--- a/crates/gladekeel-controller/src/leader/cluster_state.rs
+++ b/crates/gladekeel-controller/src/leader/cluster_state.rs
@@ -4,7 +4,7 @@
     LeaderCounters, Machine,
     autoscaling::{AutoscalerState, cloud_requests::CloudRequestQueue, warm_pool::WarmPool},
     catalog::Catalog,
-    failure_detection::reachability::ReachableZones,
+    failure_detection::{CancellationDeletion, reachability::ReachableZones},
 };
 use gladekeel_sched::{Interner, MachineIdx};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -31,6 +31,9 @@
     /// Since when each zone has been reachable. This field is filled only between two terms, like
     /// the catalog; during a term the failure detector holds this state.
     pub(super) reachable_zones: ReachableZones,
+    /// The deletions that cancellation deadlines will require. This field is filled only between
+    /// two terms; during a term they follow from the attempts.
+    pub(super) cancellation_deletions: Vec<CancellationDeletion>,
     /// Moving averages of the ratio of a task's run time to the user's estimate, by job class.
     pub(super) run_time_ratios: HashMap<String, f64>,
     /// Counters for metrics.
@@ -42,6 +45,7 @@
     /// seen is kept, since this node has received heartbeats without interruption. Attempts are
     /// dropped, and are then replayed from the assignment log.
     pub(super) fn renew(&mut self) {
+        self.cancellation_deletions.clear();
         for machine in self.machines.values_mut() {
             machine.reset_for_new_token();
         }
--- a/crates/gladekeel-controller/src/leader/failure_detection/cancellation_deadline.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/cancellation_deadline.rs
@@ -10,8 +10,9 @@
 //! resignation ends. A series of short terms therefore does not put the deletion off.
 
 use super::thresholds::deletion_due_at;
-use crate::leader::{AssignmentPhase, Leader, machine::DeletionReason};
+use crate::leader::{AssignmentPhase, ClusterState, Leader, machine::DeletionReason};
 use gladekeel_sched::{JobIdx, MachineIdx};
+use std::collections::BTreeSet;
 
 /// How much longer than the heartbeat timeout machines may report that they have stopped the tasks
 /// if a job was cancelled at an unknown time or its deadline had passed before this node led, in
@@ -30,6 +31,14 @@
     unseen: f64,
 }
 
+/// A machine that may run a task of a cancelled job, and when it must be deleted, in seconds on the
+/// node's clock.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::leader) struct CancellationDeletion {
+    machine: MachineIdx,
+    at: f64,
+}
+
 impl DeletionTimes {
     fn at(at: f64) -> DeletionTimes {
         DeletionTimes { seen: at, unseen: at }
@@ -68,6 +77,18 @@
         }
     }
 
+    /// The deletions that the next term of this node must not put off. A task that is proven gone
+    /// until then does not become known between the terms.
+    pub(in crate::leader) fn cancellation_deletions(&self) -> Vec<CancellationDeletion> {
+        let jobs = self.cancelled_jobs_on_machines.iter();
+        jobs.filter_map(|job_idx| Some((job_idx, self.deletion_times(*job_idx)?.seen)))
+            .flat_map(|(job_idx, at)| {
+                self.machines_with_committed_attempts(*job_idx)
+                    .map(move |machine| CancellationDeletion { machine, at })
+            })
+            .collect()
+    }
+
     /// When the machines that may still run tasks of a cancelled job must be deleted. `None` if
     /// there is no such job.
     fn deletion_times(&self, job_idx: JobIdx) -> Option<DeletionTimes> {
@@ -105,3 +126,27 @@
             .map(|attempt| attempt.machine)
     }
 }
+
+impl ClusterState {
+    /// Marks the machines for deletion that may run tasks of cancelled jobs past their deadlines,
+    /// and returns them. Used between two terms of this node, which may last as long as an outage
+    /// of the store.
+    pub(in crate::leader) fn mark_due_cancellation_deletions(
+        &mut self,
+        now: f64,
+    ) -> Vec<MachineIdx> {
+        let due = self.cancellation_deletions.iter().filter(|deletion| now >= deletion.at);
+        let machines: BTreeSet<MachineIdx> = due.map(|deletion| deletion.machine).collect();
+        for machine_idx in &machines {
+            self.mark_for_deletion(now, *machine_idx, DeletionReason::CancelledTaskMayRun);
+        }
+        machines.into_iter().collect()
+    }
+
+    /// Drops the deletions of these machines, which the cloud has confirmed.
+    pub(in crate::leader) fn drop_cancellation_deletions(&mut self, names: &[String]) {
+        let deleted: BTreeSet<MachineIdx> =
+            names.iter().filter_map(|name| self.machine_names.get(name.as_str())).collect();
+        self.cancellation_deletions.retain(|deletion| !deleted.contains(&deletion.machine));
+    }
+}
--- a/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/mod.rs
@@ -14,4 +14,5 @@
 pub(in crate::leader) mod reachability;
 mod thresholds;
 
+pub(in crate::leader) use cancellation_deadline::CancellationDeletion;
 pub use cancellation_deadline::TAKEOVER_REPORT_S;
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -36,7 +36,7 @@
 mod timers;
 mod token_renewal;
 
-pub use assignment_log::{CommitMarker, LogRow};
+pub use assignment_log::{CommitMarker, DecodedLog, LogRow};
 pub use attempt::{AssignmentPhase, Attempt, AttemptOutcome, StopReason};
 pub use attempt_id::AttemptId;
 pub use autoscaling::cost::CostBreakdown;
@@ -49,8 +49,7 @@
 pub use status::Backlog;
 
 use crate::{
-    assignment_log::UnreadableSegment, runtime_settings::RuntimeSettings,
-    socket_budget::SocketBudget, store_view::StoreView,
+    runtime_settings::RuntimeSettings, socket_budget::SocketBudget, store_view::StoreView,
 };
 use assignment_log::AssignmentLogWriter;
 use attempt_numbers::AttemptNumbers;
@@ -149,7 +148,7 @@
 }
 
 impl Leader {
-    /// Builds a leader from a view of the store and the rows of the assignment log.
+    /// Builds a leader from a view of the store and the assignment log.
     ///
     /// The view must be at least as new as the write of the term's token, and the log must have
     /// been read under that token. `cluster` is the state that remains from a previous term of this
@@ -159,22 +158,16 @@
     /// it is proven to be off the machine. A task without such an attempt is on no machine: a start
     /// is sent only after its assignment is committed, and a commit under an older token fails once
     /// this token is written.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a segment of the log cannot be read. The node must not lead in that
-    /// case: the attempts in the segment would count as released.
     pub fn new(
         store: &StoreView,
-        rows: Vec<LogRow>,
+        log: DecodedLog,
         term: LeaderTerm,
         cluster: Option<ClusterState>,
-    ) -> Result<Leader, UnreadableSegment> {
+    ) -> Leader {
         let now = term.now;
-        let segments = assignment_log::decode_log(rows)?;
         let mut leader = Leader::without_jobs(store, term, cluster.unwrap_or_default());
         leader.add_stored_jobs(store, now);
-        leader.replay(segments, now);
+        leader.replay(log, now);
         leader.apply_drain_orders(store);
         tracing::info!(
             token = leader.token,
@@ -183,7 +176,7 @@
             cancelled_jobs = leader.cancelled_jobs_on_machines.len(),
             "leading"
         );
-        Ok(leader)
+        leader
     }
 
     /// Builds a leader without any jobs or attempts.
@@ -235,6 +228,7 @@
     /// Returns the part of the state that stays valid under the node's next token.
     pub fn into_cluster_state(self) -> ClusterState {
         ClusterState {
+            cancellation_deletions: self.cancellation_deletions(),
             catalog: self.catalog,
             reachable_zones: self.failure_detector.into_reachable_zones(),
             ..self.cluster
--- a/crates/gladekeel-controller/src/node/leadership/mod.rs
+++ b/crates/gladekeel-controller/src/node/leadership/mod.rs
@@ -16,7 +16,12 @@
     Node,
     outgoing_calls::{CloudCall, StoreCallPurpose},
 };
-use crate::{cloud_api::CloudOutcome, keys::LeaderRecord, leader::Leader, store_view::StoreView};
+use crate::{
+    cloud_api::{CloudOutcome, CloudRequest},
+    keys::LeaderRecord,
+    leader::Leader,
+    store_view::StoreView,
+};
 use election::{Election, ObservedLeader};
 use gladekeel_store::{StoreOutcome, StoreRequest};
 use resignation::ResignationBackoff;
@@ -156,6 +161,15 @@
         self.role = Role::Leading(Box::new(leader));
     }
 
+    /// Returns the next request to the cloud, if one is due.
+    fn next_cloud_request(&mut self, now: f64) -> Option<CloudRequest> {
+        match &mut self.role {
+            Role::Leading(leader) => leader.next_cloud_request(now),
+            Role::TakingOver(takeover) => takeover.next_cloud_request(now),
+            Role::Follower => None,
+        }
+    }
+
     /// Applies the outcome of a call to the cloud, or defers it until a takeover has completed.
     pub fn on_cloud_outcome(&mut self, now: f64, call: CloudCall, outcome: CloudOutcome) {
         if call.acquisition != self.acquisition_count {
@@ -163,7 +177,9 @@
         }
         match &mut self.role {
             Role::Leading(leader) => leader.apply_cloud_outcome(now, &call.request, outcome),
-            Role::TakingOver(takeover) => takeover.defer_cloud_outcome(call.request, outcome),
+            Role::TakingOver(takeover) => {
+                takeover.defer_cloud_outcome(now, call.request, outcome);
+            }
             Role::Follower => {}
         }
     }
--- a/crates/gladekeel-controller/src/node/leadership/requests.rs
+++ b/crates/gladekeel-controller/src/node/leadership/requests.rs
@@ -6,10 +6,8 @@
     /// Sends as many of the leader's requests to the cloud as the rate limit allows.
     pub(in crate::node) fn send_cloud_requests(&mut self, now: f64) {
         let acquisition = self.leadership.acquisition_count();
-        while let Some(leader) = self.leadership.leader_mut()
-            && self.rate_limits.cloud.can_take(now, 1.0)
-        {
-            let Some(request) = leader.next_cloud_request(now) else { break };
+        while self.rate_limits.cloud.can_take(now, 1.0) {
+            let Some(request) = self.leadership.next_cloud_request(now) else { break };
             self.rate_limits.cloud.try_take(now, 1.0);
             self.actions.push(self.calls.call_cloud(acquisition, request));
         }
--- a/crates/gladekeel-controller/src/node/leadership/takeover.rs
+++ b/crates/gladekeel-controller/src/node/leadership/takeover.rs
@@ -8,7 +8,7 @@
     assignment_log::UnreadableSegment,
     cloud_api::{CloudOutcome, CloudRequest},
     keys,
-    leader::{ClusterState, Leader, LeaderTerm, LogRow},
+    leader::{ClusterState, DecodedLog, Leader, LeaderTerm, LogRow},
     node::{Node, outgoing_calls::StoreCallPurpose},
 };
 use gladekeel_store::{StoreOutcome, StoreRequest};
@@ -98,9 +98,18 @@
         self.previous
     }
 
+    /// Returns the request to the cloud that is due during the takeover, if there is one. A takeover
+    /// may last as long as an outage of the store.
+    pub fn next_cloud_request(&mut self, now: f64) -> Option<CloudRequest> {
+        self.previous.as_mut()?.cluster.next_request_between_terms(now)
+    }
+
     /// Keeps the outcome of a call to the cloud, to be applied once the takeover has completed.
-    pub fn defer_cloud_outcome(&mut self, request: CloudRequest, outcome: CloudOutcome) {
+    pub fn defer_cloud_outcome(&mut self, now: f64, request: CloudRequest, outcome: CloudOutcome) {
         if let Some(previous) = &mut self.previous {
+            if matches!(request, CloudRequest::Delete(_)) {
+                previous.cluster.record_delete_ended_between_terms(now, &request, &outcome);
+            }
             previous.cloud_outcomes.push(DeferredCloudOutcome { request, outcome });
         }
     }
@@ -148,10 +157,8 @@
     pub(in crate::node) fn on_log_page(&mut self, now: f64, token: u64, outcome: StoreOutcome) {
         let Some(takeover) = self.leadership.takeover_under_mut(token) else { return };
         let Some(rows) = takeover.on_page(now, outcome) else { return };
-        let previous = takeover.previous.take();
-        let request_id_salt = self.rng.random();
-        match self.build_leader(now, token, rows, previous, request_id_salt) {
-            Ok(leader) => self.leadership.become_leader(leader),
+        match self.decode_log(rows) {
+            Ok(log) => self.complete_takeover(now, token, log),
             Err(error) => {
                 let unreadable_keys = &self.store.view.unreadable;
                 tracing::error!(%error, ?unreadable_keys, "takeover failed: scheduling nothing");
@@ -162,14 +169,8 @@
         }
     }
 
-    fn build_leader(
-        &self,
-        now: f64,
-        token: u64,
-        rows: Vec<KeyValue>,
-        previous: Option<PreviousTerm>,
-        request_id_salt: u64,
-    ) -> Result<Leader, TakeoverError> {
+    /// Decodes the assignment log, and checks that the rest of the store can be read too.
+    fn decode_log(&self, rows: Vec<KeyValue>) -> Result<DecodedLog, TakeoverError> {
         let view = &self.store.view;
         let rows: Option<Vec<LogRow>> = rows.into_iter().map(parse_row).collect();
         let rows = rows.ok_or(TakeoverError::MalformedRow)?;
@@ -179,23 +180,27 @@
         if !view.unreadable.is_empty() {
             return Err(TakeoverError::UnreadableJobs);
         }
-        let (cluster, cloud_outcomes) = match previous {
+        Ok(DecodedLog::decode(rows)?)
+    }
+
+    fn complete_takeover(&mut self, now: f64, token: u64, log: DecodedLog) {
+        let Some(takeover) = self.leadership.takeover_under_mut(token) else { return };
+        let (cluster, cloud_outcomes) = match takeover.previous.take() {
             Some(previous) => (Some(previous.cluster), previous.cloud_outcomes),
             None => (None, Vec::new()),
         };
-        let deployment = self.deployment.clone();
         let term = LeaderTerm {
             token,
             now,
             epoch: self.epoch,
             store_loaded_at: self.store.first_contact().unwrap_or(now),
-            deployment,
-            request_id_salt,
+            deployment: self.deployment.clone(),
+            request_id_salt: self.rng.random(),
         };
-        let mut leader = Leader::new(view, rows, term, cluster)?;
+        let mut leader = Leader::new(&self.store.view, log, term, cluster);
         for DeferredCloudOutcome { request, outcome } in cloud_outcomes {
             leader.apply_cloud_outcome(now, &request, outcome);
         }
-        Ok(leader)
+        self.leadership.become_leader(leader);
     }
 }
