Leader: the growing pauses between resignations work

What callers saw: while no machine sent heartbeats, the leadership passed on every 16.6 s for as long as that lasted.

Cause: with each resignation of a controller the time until its next one was meant to double. The time without messages counts from the beginning of the term, so a new term looked like one in which a machine had just been seen, which set the count back to 0: a wait that rests on the term.

Change: only a message within the term sets the count back.

--- a/crates/gladekeel-controller/src/node/leadership/resignation.rs
+++ b/crates/gladekeel-controller/src/node/leadership/resignation.rs
@@ -63,7 +63,9 @@
             leader.time_without_messages(now);
         let leading_s = now - leader.term_started_at();
         let limit_s = isolated_after_s(workers, machines);
-        if since_last_seen_s < limit_s {
+        // Without a message in this term, the time without messages is counted from its beginning.
+        let was_machine_seen = since_last_seen_s < leading_s;
+        if was_machine_seen && since_last_seen_s < limit_s {
             self.resignations.consecutive = 0;
         }
         let extended_limit_s = limit_s * self.resignations.factor();
