--- a/crates/gladekeel-testkit/src/invariants/mod.rs
+++ b/crates/gladekeel-testkit/src/invariants/mod.rs
@@ -211,6 +211,11 @@
         self.cancelled.iter().flat_map(|job| self.running.of_job(job)).count()
     }
 
+    /// Whether a task has completed.
+    pub fn is_completed(&self, task: &TaskId) -> bool {
+        self.completed.contains(task)
+    }
+
     /// Whether all tasks of a job have completed.
     pub fn all_tasks_completed(&self, job: &JobId) -> bool {
         let tasks = self.specs.get(job).map_or(u32::MAX, |spec| spec.tasks) as usize;
--- a/crates/gladekeel-testkit/src/scenario/expectations.rs
+++ b/crates/gladekeel-testkit/src/scenario/expectations.rs
@@ -98,6 +98,8 @@
         "commit_responses_dropped" => sim.message_faults.commit_responses_dropped as f64,
         "commands_delayed" => sim.message_faults.commands_delayed as f64,
         "commands_refused" => sim.message_faults.commands_refused as f64,
+        "command_copies_executed" => sim.message_faults.command_copies_executed as f64,
+        "command_copies_refused" => sim.message_faults.command_copies_refused as f64,
         "heartbeats_replayed" => sim.message_faults.heartbeats_replayed as f64,
         "read_your_writes_queries" => sim.read_your_writes.queries as f64,
         "submissions_abandoned" => sim.abandoned_submissions as f64,
--- a/crates/gladekeel-testkit/src/scenario/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/mod.rs
@@ -106,6 +106,7 @@
 //! | `delay_commits SHARE for S` | Transactions get no response and are executed later. |
 //! | `drop_commit_responses SHARE for S` | Transactions are committed, but their responses are lost. |
 //! | `delay_commands SHARE for S` | Direct commands, which are sent outside heartbeat responses, get no response and are executed later. |
+//! | `copy_commands SHARE after MIN..MAX for S` | A copy of this share of the direct commands that are executed and answered arrives again, MIN to MAX seconds later. |
 //! | `replay_heartbeats SHARE for S` | Copies of heartbeats reach every node when the next leader takes over. |
 //!
 //! # Keys of `submit`
@@ -156,6 +157,7 @@
 //! | `read_your_writes_queries OP N` | Queries of the read-your-writes probe. |
 //! | `commit_responses_dropped OP N` | Responses to transactions that were lost. |
 //! | `commands_delayed OP N`, `commands_refused OP N` | Delayed direct commands that workers executed; delayed direct commands that workers refused. |
+//! | `command_copies_executed OP N`, `command_copies_refused OP N` | Copies of direct commands that workers accepted, whether or not they had an effect; copies that workers refused. |
 //! | `heartbeats_replayed OP N` | Copies of heartbeats that were sent when a leader took over. |
 //!
 //! [`Invariant::name`]: crate::invariants::Invariant::name
--- a/crates/gladekeel-testkit/src/scenario/steps/messages.rs
+++ b/crates/gladekeel-testkit/src/scenario/steps/messages.rs
@@ -1,7 +1,10 @@
-//! Steps that delay, drop or replay messages.
+//! Steps that delay, copy, drop or replay messages.
 
 use super::{Step, line::Line};
-use crate::scenario::LineError;
+use crate::{
+    scenario::{LineError, tokens::number_range},
+    simulation::CommandCopies,
+};
 
 /// Longest time between sending a delayed transaction and its execution.
 const MAX_COMMIT_DELAY_S: f64 = 12.0;
@@ -41,6 +44,21 @@
     }))
 }
 
+/// `copy_commands SHARE after MIN..MAX for S`: for S seconds, a copy of this share of the direct
+/// commands that were executed and answered arrives again, between MIN and MAX seconds later.
+pub(super) fn copy_commands(line: &Line) -> Result<Step, LineError> {
+    let (share, duration_s) = (line.number(1, "a share")?, line.duration_s);
+    if !line.has(2, "after") {
+        return Err(LineError::unexpected("after MIN..MAX", line.text));
+    }
+    let delay_s = number_range(line.token(3, "a range of seconds")?)?;
+    Ok(Box::new(move |sim| {
+        sim.mark_fault_active(duration_s + delay_s.end);
+        sim.message_faults.command_copies = Some(CommandCopies { share, delay_s });
+        sim.after(duration_s, |sim| sim.message_faults.command_copies = None);
+    }))
+}
+
 /// `replay_heartbeats SHARE for S`: for S seconds, copies of this share of the heartbeats are
 /// retained. The copies reach every node when the next leader takes over.
 pub(super) fn replay_heartbeats(line: &Line) -> Result<Step, LineError> {
--- a/crates/gladekeel-testkit/src/scenario/steps/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/steps/mod.rs
@@ -34,6 +34,7 @@
         "delay_commits" => messages::delay_commits(line),
         "drop_commit_responses" => messages::drop_commit_responses(line),
         "delay_commands" => messages::delay_commands(line),
+        "copy_commands" => messages::copy_commands(line),
         "replay_heartbeats" => messages::replay_heartbeats(line),
         "crash" => nodes::crash(line),
         "pause" => nodes::pause(line),
--- a/crates/gladekeel-testkit/src/scenario/tokens.rs
+++ b/crates/gladekeel-testkit/src/scenario/tokens.rs
@@ -2,7 +2,7 @@
 
 use super::LineError;
 use gladekeel_wire::JobId;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 /// The `key=value` tokens of a line.
 #[derive(Debug, Default)]
@@ -55,6 +55,14 @@
     text.parse().map_err(|_| LineError::unexpected("a number", text))
 }
 
+/// Parses a range of numbers like `0.2..12`, which must not be empty.
+pub(super) fn number_range(text: &str) -> Result<Range<f64>, LineError> {
+    let unexpected = || LineError::unexpected("a range like 0.2..12", text);
+    let (start, end) = text.split_once("..").ok_or_else(unexpected)?;
+    let range = number(start)?..number(end)?;
+    if range.is_empty() { Err(unexpected()) } else { Ok(range) }
+}
+
 /// Parses the name of a job.
 pub(super) fn job_id(text: &str) -> Result<JobId, LineError> {
     text.parse().map_err(|_| LineError::unexpected("a job's name", text))
--- a/crates/gladekeel-testkit/src/simulation/heartbeats.rs
+++ b/crates/gladekeel-testkit/src/simulation/heartbeats.rs
@@ -152,6 +152,7 @@
         let HeartbeatInFlight { incarnation, sent_at, .. } = *in_flight;
         let events =
             worker.handle_heartbeat_response(self.now, incarnation, sent_at, response, &find_spec);
+        worker.record_kept_results(|task| invariants.is_completed(task));
         let machine = worker.machine.clone();
         self.record_events(&machine, events);
         if self.start_tasks_twice {
--- a/crates/gladekeel-testkit/src/simulation/mod.rs
+++ b/crates/gladekeel-testkit/src/simulation/mod.rs
@@ -16,7 +16,7 @@
 mod worker_commands;
 
 pub use decision_trace::TraceDigest;
-pub use message_faults::MessageFaults;
+pub use message_faults::{CommandCopies, MessageFaults};
 pub use network::{Endpoint, Partition, PartitionScope};
 pub use read_your_writes::ReadYourWritesProbe;
 
--- a/crates/gladekeel-testkit/src/simulation/worker_commands.rs
+++ b/crates/gladekeel-testkit/src/simulation/worker_commands.rs
@@ -37,7 +37,12 @@
         let Some(worker) = self.workers.get(&request.addr) else { return };
         let zone = worker.machine.zone.clone();
         self.deliver(&Endpoint::Node(node), &Endpoint::Worker(zone.clone()), move |sim| {
+            let commands = request.body.clone();
+            let addr = request.addr.clone();
             let Some(outcome) = sim.receive_direct_request(request) else { return };
+            if let (WorkerOutcome::Done(_), Some(commands)) = (&outcome, commands) {
+                sim.maybe_copy_commands(addr, commands);
+            }
             sim.deliver(&Endpoint::Worker(zone), &Endpoint::Node(node), move |sim| {
                 sim.handle_event(node, incarnation, Event::Worker { call, outcome });
             });
@@ -79,6 +84,7 @@
         let invariants = &self.invariants;
         let find_spec = |task: &TaskId| invariants.task_spec(task);
         let (executed, events) = worker.handle_direct_commands(self.now, body, &find_spec);
+        worker.record_kept_results(|task| invariants.is_completed(task));
         let heartbeat = worker.heartbeat(self.now);
         let machine = worker.machine.clone();
         self.record_events(&machine, events);
--- a/crates/gladekeel-testkit/src/stand_ins/worker/commands.rs
+++ b/crates/gladekeel-testkit/src/stand_ins/worker/commands.rs
@@ -129,6 +129,7 @@
             cause: refusal,
             saved: None,
             stop_requested_at: None,
+            completed_before: false,
         });
         event
     }
--- a/crates/gladekeel-testkit/src/stand_ins/worker/mod.rs
+++ b/crates/gladekeel-testkit/src/stand_ins/worker/mod.rs
@@ -236,11 +236,23 @@
         events
     }
 
+    /// Records which of the tasks that wait for their image completed in an earlier attempt.
+    pub fn record_kept_results(&mut self, is_completed: impl Fn(&TaskId) -> bool) {
+        for task in self.tasks.iter_mut().filter(|task| task.state == TaskState::Fetching) {
+            task.completed_before = is_completed(&task.task);
+        }
+    }
+
     /// Moves a task to its next state; called when the time of its current state has passed.
     fn advance_task(&mut self, now: f64, task: &mut FakeTask) -> Option<WorkerEvent> {
         let event = match task.state {
             TaskState::Fetching => {
                 self.cached_images.insert(task.spec.image.clone());
+                if task.completed_before {
+                    task.exit(ExitCause::Done, None);
+                    self.changed = true;
+                    return None;
+                }
                 if task.spec.kind == JobKind::Gang {
                     task.state = TaskState::Waiting;
                     task.state_ends_at = now + self.gang_wait_s;
--- a/crates/gladekeel-testkit/src/stand_ins/worker/task.rs
+++ b/crates/gladekeel-testkit/src/stand_ins/worker/task.rs
@@ -29,6 +29,9 @@
     /// When the task received a stop command with a grace period that is long enough to write a
     /// checkpoint; `None` before, and for a task that is in no gang.
     pub stop_requested_at: Option<f64>,
+    /// Whether the task completed in an earlier attempt. The result is kept, so the task exits as
+    /// completed as soon as it has its image, without running again.
+    pub completed_before: bool,
 }
 
 impl FakeTask {
--- a/crates/gladekeel-testkit/tests/fake_worker.rs
+++ b/crates/gladekeel-testkit/tests/fake_worker.rs
@@ -9,7 +9,7 @@
 };
 use gladekeel_wire::{
     TaskId,
-    worker::{Command, DirectCommands, HeartbeatResponse},
+    worker::{Command, DirectCommands, ExitCause, HeartbeatResponse},
 };
 
 fn start(task: &TaskId) -> Vec<Command> {
@@ -52,3 +52,24 @@
     let DelayedHeartbeat { created_at, heartbeat } = worker.delayed_heartbeat.take().unwrap();
     assert_eq!((created_at, heartbeat.incarnation, heartbeat.tasks.len()), (2.0, 1, 1));
 }
+
+/// The result of a completed task is kept: if the task is started again, it exits with it.
+#[test]
+fn a_completed_task_that_is_started_again_does_not_run_again() {
+    let spec = example_job("job-1");
+    let task = TaskId { job: spec.id.clone(), index: 0 };
+    let find = |_: &TaskId| Some(spec.clone());
+    let machine = MachineIdentity {
+        name: "n-1".into(),
+        machine_type: "m32".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let capacity = Resources { cpus: 32.0, gpus: 0.0, memory_gb: 64.0 };
+    let mut worker = FakeWorker::new(machine, capacity, 30.0, 0.0, 0);
+    let commands = DirectCommands { token: 7, incarnation: 1, commands: start(&task) };
+    assert!(worker.handle_direct_commands(0.0, &commands, &find).0);
+    worker.record_kept_results(|completed| *completed == task);
+    assert!(worker.step(1.5).is_empty(), "the task never occupies the machine");
+    assert_eq!(worker.tasks[0].status().cause, Some(ExitCause::Done));
+}
