Leader: no forget while a copy of an answered direct start may still run

Task 3 of an array failed on one machine at 30.98 s, started on another at 31.21 s, and at 33.99 s the first machine started the failed attempt again.

Cause: a right that was taken for spent because its answer had come. A direct start counted as settled with its first response, so that the leader, still under the token of the start, had the worker forget the failed attempt. A worker that has forgotten an attempt executes a copy of its start command like a new one: token and incarnation still matched.

Now a worker keeps an attempt that was started directly in its list until its task is complete, the leader has a higher token, which the forget command itself brings to the worker, or the worker begins a new incarnation. While the worker lists the attempt a copy has no effect; afterwards the worker refuses it. A completed task is forgotten at once: its result is kept and it does not run again.

--- a/crates/gladekeel-controller/src/leader/commands/mod.rs
+++ b/crates/gladekeel-controller/src/leader/commands/mod.rs
@@ -8,16 +8,17 @@
 //! is built. Adding a machine twice, or a machine for which no command is due, is therefore
 //! harmless.
 //!
-//! This module upholds "Direct commands" of `docs/safety.md`: a start that received no response may
-//! be executed at any later time while its fencing token and incarnation match those of the worker.
-//! Until such a start is [settled](unsettled_starts), that is, was executed or can no longer be
-//! executed, its attempt is not released when the task is absent from a heartbeat, and no forget
-//! command is sent for the attempt.
+//! This module upholds "Direct commands" of `docs/safety.md`: a start may be executed at any later
+//! time, and again after it was executed, while its fencing token and incarnation match those of
+//! the worker and the worker does not list the attempt. Until a start was executed or can no longer
+//! be executed, its attempt is not released when the task is absent from a heartbeat. No forget
+//! command is sent for an attempt that was started directly under the current token, unless its
+//! task is complete ([`DirectStarts`](crate::leader::machine::DirectStarts)).
 
 mod outcome;
 mod queue;
 mod request;
-mod unsettled_starts;
+mod unanswered_starts;
 
 pub use outcome::WorkerOutcome;
 pub(super) use queue::CommandQueue;
--- a/crates/gladekeel-controller/src/leader/commands/outcome.rs
+++ b/crates/gladekeel-controller/src/leader/commands/outcome.rs
@@ -43,7 +43,7 @@
         }
         let Some(machine) = self.cluster.machines.get_mut(&request.machine) else { return };
         machine.commands.record_request_outcome();
-        self.settle_starts(now, request, outcome);
+        self.record_start_outcomes(now, request, outcome);
         match outcome {
             WorkerOutcome::Done(heartbeat) => self.on_response(now, request.machine, heartbeat),
             WorkerOutcome::NotExecuted => self.on_refusal(request.machine),
--- a/crates/gladekeel-controller/src/leader/commands/queue.rs
+++ b/crates/gladekeel-controller/src/leader/commands/queue.rs
@@ -17,7 +17,7 @@
     probes_in_flight: usize,
     max_probes_in_flight: usize,
     /// Machines to which a start was sent that received no response and may still be executed.
-    with_unsettled_starts: BTreeSet<MachineIdx>,
+    with_unanswered_starts: BTreeSet<MachineIdx>,
     /// Machines to which a stop was sent that possibly did not arrive.
     with_undelivered_stops: BTreeSet<MachineIdx>,
 }
@@ -34,7 +34,7 @@
             // A probe of an unreachable machine hangs until it times out. Half of the requests are
             // kept free of probes for commands to other machines.
             max_probes_in_flight: max_requests / 2,
-            with_unsettled_starts: BTreeSet::new(),
+            with_unanswered_starts: BTreeSet::new(),
             with_undelivered_stops: BTreeSet::new(),
         }
     }
@@ -100,15 +100,15 @@
     }
 
     /// Records that a start for a machine received no response.
-    pub(super) fn record_unsettled_start(&mut self, machine: MachineIdx) {
-        self.with_unsettled_starts.insert(machine);
+    pub(super) fn record_unanswered_start(&mut self, machine: MachineIdx) {
+        self.with_unanswered_starts.insert(machine);
     }
 
-    /// Removes from `with_unsettled_starts` each machine for which `has_unsettled_start` is false.
-    pub(super) fn retain_unsettled_starts(
+    /// Removes from `with_unanswered_starts` each machine for which `has_unanswered_start` is false.
+    pub(super) fn retain_unanswered_starts(
         &mut self,
-        mut has_unsettled_start: impl FnMut(MachineIdx) -> bool,
+        mut has_unanswered_start: impl FnMut(MachineIdx) -> bool,
     ) {
-        self.with_unsettled_starts.retain(|machine| has_unsettled_start(*machine));
+        self.with_unanswered_starts.retain(|machine| has_unanswered_start(*machine));
     }
 }
--- a/crates/gladekeel-controller/src/leader/commands/request.rs
+++ b/crates/gladekeel-controller/src/leader/commands/request.rs
@@ -97,9 +97,10 @@
         let incarnation = machine.newest_message.incarnation;
         let may_start =
             may_start && !self.token_renewal.is_required() && machine.may_receive_starts();
+        let max_starts = if may_start { machine.commands.starts.room() } else { 0 };
         let attempts = machine.attempts().clone();
         let DueCommands { mut commands, starts } =
-            self.due_commands(attempts, incarnation, may_start);
+            self.due_commands(attempts, incarnation, max_starts);
         let machine = self.cluster.machines.get_mut(&machine_idx)?;
         if commands.is_empty() {
             if machine.acknowledgements.missed() > 0 && !machine.deletion.is_planned() {
@@ -115,19 +116,21 @@
         Some(WorkerRequest { addr, body, token, machine: machine_idx, starts })
     }
 
-    /// Returns the commands that are due for the attempts on a machine: stops and, if `may_start`
-    /// is true, starts.
+    /// Returns the commands that are due for the attempts on a machine: stops, and at most
+    /// `max_starts` starts.
     fn due_commands(
         &mut self,
         attempts: BTreeSet<AttemptId>,
         incarnation: u64,
-        may_start: bool,
+        max_starts: usize,
     ) -> DueCommands {
         let mut due = DueCommands::default();
         for id in attempts {
             if let Some(stop) = self.due_stop(id, incarnation) {
                 due.commands.push(stop);
-            } else if may_start && let Some(start) = self.due_start(id, incarnation) {
+            } else if due.starts.len() < max_starts
+                && let Some(start) = self.due_start(id, incarnation)
+            {
                 due.commands.push(start);
                 due.starts.push(id);
             }
--- a/crates/gladekeel-controller/src/leader/machine/mod.rs
+++ b/crates/gladekeel-controller/src/leader/machine/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! Each aspect that changes independently has its own type, which enforces the rules of its
 //! transitions: [`Liveness`], [`Acknowledgements`], [`Deletion`], [`Workload`],
-//! [`OutstandingCommands`], [`Quarantine`], [`CloudListing`] and [`ImageCache`].
+//! [`OutstandingCommands`], [`DirectStarts`], [`Quarantine`], [`CloudListing`] and [`ImageCache`].
 //! Reconciliation, failure detection, scheduling, autoscaling and worker commands all read
 //! machines; each transition is triggered by one of these modules.
 
 mod acknowledgements;
 mod cloud_listing;
 mod deletion;
+mod direct_starts;
 mod image_cache;
 mod liveness;
 mod outstanding_commands;
@@ -18,6 +19,7 @@
 pub(super) use acknowledgements::{Acknowledgements, ExpectedEffects};
 pub(super) use cloud_listing::CloudListing;
 pub(super) use deletion::{Deletion, DeletionReason};
+pub(super) use direct_starts::DirectStarts;
 pub(super) use image_cache::ImageCache;
 pub(super) use liveness::{Liveness, Responsiveness};
 pub(super) use outstanding_commands::OutstandingCommands;
@@ -134,7 +136,7 @@
     /// the machine exists. A delayed copy of an older heartbeat may name a machine that no longer
     /// exists, so a machine whose existence is not confirmed gets no tasks.
     pub existence_confirmed: bool,
-    /// The direct commands to the worker that have not received a response.
+    /// The direct commands to the worker that await a response or may be executed again.
     pub commands: OutstandingCommands,
     /// The container images on the machine.
     pub images: ImageCache,
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -241,7 +241,7 @@
         self.timers.tick(now);
         self.cluster.counters.attempt_lookups += self.attempts.take_lookups();
         self.evacuate_leaving_machines(now);
-        if self.unsettled_start_needs_new_token(now) {
+        if self.unanswered_start_needs_new_token(now) {
             self.token_renewal.require(TokenRenewalReason::UnansweredStart);
         }
         if self.timers.failure_check_due(now, settings) {
--- a/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
@@ -66,7 +66,8 @@
             || self.is_job_finished(attempt.job)
             || !self.is_machine_usable(attempt.machine);
         let machine = self.cluster.machines.get(&attempt.machine);
-        must_not_start && !machine.is_some_and(|machine| machine.commands.may_still_start(id))
+        must_not_start
+            && !machine.is_some_and(|machine| machine.commands.starts.may_still_start(id))
     }
 
     /// Whether a job is finished or removed, so that none of its tasks may be started any more. The
@@ -178,9 +179,9 @@
         let machine = self.cluster.machines.get(&machine_idx);
         if status.state != TaskState::Exited {
             commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
-        } else if machine.is_some_and(|machine| !machine.commands.may_still_start(id)) {
-            // The attempt is no longer assigned here, so its release is committed. After a
-            // heartbeat under the current token, no start of the attempt can still arrive.
+        } else if machine.is_some_and(|machine| !machine.commands.starts.forbid_forget(id)) {
+            // The attempt is no longer assigned here, so its release is committed. The worker
+            // refuses starts under earlier tokens, and none under this one would run the task.
             commands.push(Command::Forget { task, attempt });
         }
     }
--- a/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
@@ -56,7 +56,7 @@
     fn apply_message(&mut self, now: f64, message: &Heartbeat, machine_type: MachineTypeIdx) {
         let order = MessageOrder::from(message);
         if order.incarnation > self.newest_message.incarnation {
-            self.commands.settle_all_starts();
+            self.commands.starts.clear();
             if self.liveness.was_seen() {
                 self.acknowledgements.record_expired_lease();
             }
--- a/crates/gladekeel-controller/src/leader/reconciliation/release.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/release.rs
@@ -18,10 +18,15 @@
             if is_committed {
                 attempt.phase = AssignmentPhase::Releasing(outcome);
             }
-            is_committed.then_some((attempt.job, attempt.task_index))
+            is_committed.then_some((attempt.job, attempt.task_index, attempt.machine))
         });
-        let Some((job_idx, task_index)) = released.flatten() else { return };
+        let Some((job_idx, task_index, machine_idx)) = released.flatten() else { return };
         self.log_writer.pending().add_release(id);
+        if outcome == AttemptOutcome::Done
+            && let Some(machine) = self.cluster.machines.get_mut(&machine_idx)
+        {
+            machine.commands.starts.record_completion(id);
+        }
         self.apply_outcome_to_gang(job_idx, outcome);
         let Some(job) = self.jobs.get_mut(&job_idx) else { return };
         if outcome == AttemptOutcome::Restarted {
