Node: a response to a relay of an earlier process reaches no other worker

What callers would see: a task on two machines.

A follower relays heartbeats and pairs the leader's responses by the id of the call, which began at 0 in each process. After a restart within an instant, the response to a heartbeat that the earlier process had relayed (in the leader's queue, or in a leader that stood still) carried the id of a relay of the new process, and another worker received the commands, with a valid token: it would start the tasks of the first one.

The upper 32 bits of the ids are now random for each process: the lower half of its incarnation.

--- a/crates/gladekeel-controller/src/node/mod.rs
+++ b/crates/gladekeel-controller/src/node/mod.rs
@@ -91,7 +91,8 @@
         let mut deployment = settings.deployment.clone();
         deployment.store = deployment.store.lowest();
         let mut rng = StdRng::seed_from_u64(seed);
-        let record = LeaderRecord { node: settings.node.clone(), incarnation: rng.random() };
+        let incarnation = rng.random();
+        let record = LeaderRecord { node: settings.node.clone(), incarnation };
         let max_worker_calls = SocketBudget::new(&deployment.limits).worker_calls;
         Node {
             epoch,
@@ -104,7 +105,7 @@
             user_requests: UserRequests::new(deployment.store.txn_ops),
             heartbeats: WorkerHeartbeats::new(&deployment, settings.peers.len()),
             peers: Peers::new(&settings),
-            calls: OutgoingCalls::new(max_worker_calls),
+            calls: OutgoingCalls::new(max_worker_calls, incarnation),
             request_timers: RequestTimers::default(),
             process_metrics: ProcessMetrics::default(),
             actions: Vec::new(),
--- a/crates/gladekeel-controller/src/node/outgoing_calls.rs
+++ b/crates/gladekeel-controller/src/node/outgoing_calls.rs
@@ -31,6 +31,10 @@
 /// Time without a response after which a call to a worker counts as hung.
 const WORKER_CALL_HUNG_AFTER_S: f64 = 0.3;
 
+/// Number of low bits of a call's id that count the calls of one process. The bits above them are
+/// drawn at random when the process starts.
+const CALL_COUNTER_BITS: u32 = 32;
+
 /// The purpose of a call to the store, with the data needed to handle the outcome.
 #[derive(Debug)]
 pub(super) enum StoreCallPurpose {
@@ -127,10 +131,14 @@
 }
 
 impl OutgoingCalls {
-    /// Creates empty tables. `max_worker_calls` limits the calls to workers in flight.
-    pub fn new(max_worker_calls: usize) -> OutgoingCalls {
+    /// Creates empty tables for the process that drew `incarnation` at its start.
+    /// `max_worker_calls` limits the calls to workers in flight.
+    ///
+    /// The ids of two processes of a node differ: a peer may respond to a heartbeat that an earlier
+    /// process has relayed, and the response must not reach another worker.
+    pub fn new(max_worker_calls: usize, incarnation: u64) -> OutgoingCalls {
         OutgoingCalls {
-            next_id: 0,
+            next_id: incarnation << CALL_COUNTER_BITS,
             store: BTreeMap::new(),
             cloud: BTreeMap::new(),
             workers: BTreeMap::new(),
--- a/crates/gladekeel-testkit/tests/two_versions/main.rs
+++ b/crates/gladekeel-testkit/tests/two_versions/main.rs
@@ -4,6 +4,7 @@
 //! Version fe9a16c sends level 1 and knows kind 6.
 
 mod peers;
+mod relays;
 mod stored_values;
 mod takeover;
 
