--- a/crates/gladekeel-controller/src/leader/job/task_queue.rs
+++ b/crates/gladekeel-controller/src/leader/job/task_queue.rs
@@ -76,7 +76,7 @@
 
     /// Puts a task back behind the speculative restarts but ahead of all other tasks, since the
     /// requeued task has waited before.
-    pub(super) fn requeue(&mut self, task: u32, now: f64) {
+    pub(in crate::leader) fn requeue(&mut self, task: u32, now: f64) {
         let position = (self.speculative_restarts as usize).min(self.tasks.len());
         self.tasks.insert(position, task);
         self.waiting_since.get_or_insert(now);
--- a/crates/gladekeel-testkit/src/scenario/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/mod.rs
@@ -100,6 +100,7 @@
 //! | `reboot COUNT`, `reboot host_of:JOB` | Machines reboot instantly. |
 //! | `hang MACHINES for S`, `hang zone_of:JOB for S`, `hang host_of:JOB for S` | Machines hang. With `zone_of`, the zone has no free machine afterwards. With `zone_of` and `host_of`, the heartbeats that were due when the machines hung are not sent later. |
 //! | `fail_tasks MACHINES for S` | Every task that runs on these machines fails. |
+//! | `refuse_starts MACHINES for S` | These machines refuse every start as if they had no free resources. |
 //! | `slow MACHINES for S` | Tasks take longer on these machines. |
 //! | `partition_inbound MACHINES for S` | These machines receive no messages, but their heartbeats arrive. |
 //! | `partition_outbound MACHINES for S` | The heartbeats of these machines are lost, but direct commands and the responses to them arrive. |
--- a/crates/gladekeel-testkit/src/scenario/steps/machines.rs
+++ b/crates/gladekeel-testkit/src/scenario/steps/machines.rs
@@ -126,12 +126,13 @@
     sim.after(duration_s, move |sim| set_hung(sim, false));
 }
 
-/// The fault that `hang`, `fail_tasks`, `slow`, `partition_inbound` or `partition_outbound`
-/// injects.
+/// The fault that `hang`, `fail_tasks`, `refuse_starts`, `slow`, `partition_inbound` or
+/// `partition_outbound` injects.
 #[derive(Debug, Clone, Copy)]
 enum MachineFault {
     Hung,
     FailsTasks,
+    RefusesStarts,
     Slow,
     InboundPartition,
     OutboundPartition,
@@ -143,6 +144,7 @@
         match verb {
             "hang" => Ok(MachineFault::Hung),
             "fail_tasks" => Ok(MachineFault::FailsTasks),
+            "refuse_starts" => Ok(MachineFault::RefusesStarts),
             "slow" => Ok(MachineFault::Slow),
             "partition_inbound" => Ok(MachineFault::InboundPartition),
             "partition_outbound" => Ok(MachineFault::OutboundPartition),
@@ -155,6 +157,7 @@
         match self {
             MachineFault::Hung => worker.hang(now, active),
             MachineFault::FailsTasks => worker.fails_tasks = active,
+            MachineFault::RefusesStarts => worker.refuses_starts = active,
             MachineFault::Slow => worker.slowdown = if active { SLOWDOWN } else { 1.0 },
             MachineFault::InboundPartition => worker.inbound_partitioned = active,
             MachineFault::OutboundPartition => worker.outbound_partitioned = active,
@@ -162,8 +165,8 @@
     }
 }
 
-/// `hang|fail_tasks|slow|partition_inbound|partition_outbound MACHINES for S`: the machines that
-/// the selector names when the step is executed have the fault until the duration has passed.
+/// `hang|fail_tasks|refuse_starts|slow|partition_inbound|partition_outbound MACHINES for S`: the
+/// machines that the selector names when the step is executed have the fault until the duration has passed.
 pub(super) fn degrade(line: &Line) -> Result<Step, LineError> {
     let fault = MachineFault::parse(line.token(0, "a verb")?)?;
     let selector =
--- a/crates/gladekeel-testkit/src/scenario/steps/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/steps/mod.rs
@@ -56,9 +56,8 @@
         }
         "reclaim" => machines::reclaim(line),
         "reboot" => machines::reboot(line),
-        "hang" | "fail_tasks" | "slow" | "partition_inbound" | "partition_outbound" => {
-            machines::degrade(line)
-        }
+        "hang" | "fail_tasks" | "refuse_starts" | "slow" | "partition_inbound"
+        | "partition_outbound" => machines::degrade(line),
         other => Err(LineError::unexpected("a step", other)),
     }
 }
--- a/crates/gladekeel-testkit/src/stand_ins/worker/commands.rs
+++ b/crates/gladekeel-testkit/src/stand_ins/worker/commands.rs
@@ -107,7 +107,9 @@
         let refusal = match &spec {
             None => Some(ExitCause::Unknown),
             Some(_) if other_attempt_runs => Some(ExitCause::Busy),
-            Some(spec) if !free.fits(spec) => Some(ExitCause::InsufficientResources),
+            Some(spec) if self.refuses_starts || !free.fits(spec) => {
+                Some(ExitCause::InsufficientResources)
+            }
             Some(_) => None,
         };
         let event = (refusal == Some(ExitCause::InsufficientResources))
--- a/crates/gladekeel-testkit/src/stand_ins/worker/mod.rs
+++ b/crates/gladekeel-testkit/src/stand_ins/worker/mod.rs
@@ -87,6 +87,8 @@
     pub node: usize,
     /// Whether every task that runs on the machine fails.
     pub fails_tasks: bool,
+    /// Whether the worker refuses every start as if the machine had no free resources.
+    pub refuses_starts: bool,
     /// Whether the machine hangs: the worker and its tasks execute nothing.
     pub hung: bool,
     /// Whether the worker receives neither responses nor commands, while its heartbeats arrive.
@@ -132,6 +134,7 @@
             tasks: Vec::new(),
             node,
             fails_tasks: false,
+            refuses_starts: false,
             hung: false,
             inbound_partitioned: false,
             outbound_partitioned: false,
