Leader: a new token when machines list too many ended attempts

Under one leader a machine may reach the 128 attempts that it lists because of direct starts, and then gets its starts with the responses to its heartbeats until the token changes by itself. If most of them have ended, the leader now acquires a new token, under which the worker may forget them, by the way that an unanswered start takes.

New expectation `largest_heartbeat_bytes`.

--- a/crates/gladekeel-controller/src/leader/commands/mod.rs
+++ b/crates/gladekeel-controller/src/leader/commands/mod.rs
@@ -15,6 +15,7 @@
 //! command is sent for an attempt that was started directly under the current token, unless its
 //! task is complete ([`DirectStarts`](crate::leader::machine::DirectStarts)).
 
+mod ended_attempts;
 mod outcome;
 mod queue;
 mod request;
--- a/crates/gladekeel-controller/src/leader/commands/queue.rs
+++ b/crates/gladekeel-controller/src/leader/commands/queue.rs
@@ -20,6 +20,8 @@
     with_unanswered_starts: BTreeSet<MachineIdx>,
     /// Machines to which a stop was sent that possibly did not arrive.
     with_undelivered_stops: BTreeSet<MachineIdx>,
+    /// Whether a machine lists so many ended attempts that it gets no direct starts.
+    direct_starts_withheld: bool,
 }
 
 impl CommandQueue {
@@ -36,6 +38,7 @@
             max_probes_in_flight: max_requests / 2,
             with_unanswered_starts: BTreeSet::new(),
             with_undelivered_stops: BTreeSet::new(),
+            direct_starts_withheld: false,
         }
     }
 
@@ -99,6 +102,16 @@
         self.with_undelivered_stops.insert(machine);
     }
 
+    /// Records that a machine gets no direct starts because of the ended attempts that it lists.
+    pub(super) fn record_withheld_starts(&mut self) {
+        self.direct_starts_withheld = true;
+    }
+
+    /// Whether any machine gets no direct starts because of the ended attempts that it lists.
+    pub(super) fn are_direct_starts_withheld(&self) -> bool {
+        self.direct_starts_withheld
+    }
+
     /// Records that a start for a machine received no response.
     pub(super) fn record_unanswered_start(&mut self, machine: MachineIdx) {
         self.with_unanswered_starts.insert(machine);
--- a/crates/gladekeel-controller/src/leader/commands/request.rs
+++ b/crates/gladekeel-controller/src/leader/commands/request.rs
@@ -98,6 +98,9 @@
         let may_start =
             may_start && !self.token_renewal.is_required() && machine.may_receive_starts();
         let max_starts = if may_start { machine.commands.starts.room() } else { 0 };
+        if machine.withholds_direct_starts() {
+            self.commands.record_withheld_starts();
+        }
         let attempts = machine.attempts().clone();
         let DueCommands { mut commands, starts } =
             self.due_commands(attempts, incarnation, max_starts);
--- a/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
+++ b/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
@@ -101,6 +101,14 @@
         self.starts.contains_key(&id)
     }
 
+    /// Whether there is no room left, and most of it is taken by attempts that the worker only
+    /// lists because of their starts. `is_assigned` says whether an attempt is still assigned to
+    /// the machine.
+    pub fn are_mostly_ended(&self, is_assigned: impl Fn(&AttemptId) -> bool) -> bool {
+        let ended = || self.starts.keys().filter(|id| !is_assigned(id)).count();
+        self.room() == 0 && ended() > MAX_DIRECT_STARTS / 2
+    }
+
     /// How many more tasks may be started directly on the machine.
     pub fn room(&self) -> usize {
         MAX_DIRECT_STARTS.saturating_sub(self.starts.len())
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -244,6 +244,9 @@
         if self.unanswered_start_needs_new_token(now) {
             self.token_renewal.require(TokenRenewalReason::UnansweredStart);
         }
+        if self.ended_attempts_need_new_token(now) {
+            self.token_renewal.require(TokenRenewalReason::TooManyEndedAttempts);
+        }
         if self.timers.failure_check_due(now, settings) {
             // These steps also run while the leader waits for a new token, which may take as long
             // as an outage of the store.
@@ -276,8 +279,8 @@
     }
 
     /// Whether the leader needs a new token before it can continue, because the outcome of a
-    /// commit or a start is unknown, its view of the store is wrong, or its attempt numbers are
-    /// nearly exhausted.
+    /// commit or a start is unknown, its view of the store is wrong, a worker must forget ended
+    /// attempts, or its attempt numbers are nearly exhausted.
     pub fn needs_new_token(&self) -> bool {
         self.token_renewal.is_required() || self.attempt_numbers.are_nearly_exhausted()
     }
--- a/crates/gladekeel-controller/src/leader/token_renewal.rs
+++ b/crates/gladekeel-controller/src/leader/token_renewal.rs
@@ -18,6 +18,9 @@
     UnexpectedConflict,
     /// A direct start received no response and may be executed at any later time.
     UnansweredStart,
+    /// A machine lists so many attempts that ended after a direct start that further starts must
+    /// wait for its heartbeats. Under a new token the worker may forget them.
+    TooManyEndedAttempts,
 }
 
 impl fmt::Display for TokenRenewalReason {
@@ -26,6 +29,7 @@
             TokenRenewalReason::UnansweredCommit => "unanswered commit",
             TokenRenewalReason::UnexpectedConflict => "unexpected conflict",
             TokenRenewalReason::UnansweredStart => "unanswered start",
+            TokenRenewalReason::TooManyEndedAttempts => "too many ended attempts",
         })
     }
 }
--- a/crates/gladekeel-testkit/src/scenario/expectations.rs
+++ b/crates/gladekeel-testkit/src/scenario/expectations.rs
@@ -103,6 +103,7 @@
         "heartbeats_replayed" => sim.message_faults.heartbeats_replayed as f64,
         "read_your_writes_queries" => sim.read_your_writes.queries as f64,
         "submissions_abandoned" => sim.abandoned_submissions as f64,
+        "largest_heartbeat_bytes" => sim.largest_heartbeat_bytes as f64,
         "workers_at_leader" => sim.workers_at_leader() as f64,
         "leaders" => sim.leaders.len() as f64,
         "machines" => sim.cloud.present().len() as f64,
--- a/crates/gladekeel-testkit/src/scenario/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/mod.rs
@@ -146,6 +146,7 @@
 //! | `cancellations_confirmed OP N` | Jobs that users observed as cancelled. |
 //! | `cancelled_tasks_on_machines OP N` | Tasks on machines whose jobs users observed as cancelled. |
 //! | `leaders OP N` | Leaders so far, each with its own token. |
+//! | `largest_heartbeat_bytes OP N` | Size of the largest heartbeat that a worker has sent. |
 //! | `workers_at_leader OP N` | Workers that send their heartbeats to the leader. |
 //! | `machines OP N`, `machines_rented OP N` | Machines that exist; machines ever rented. |
 //! | `writes_committed OP N`, `bytes_committed OP N` | Writes and bytes of all committed transactions. |
--- a/crates/gladekeel-testkit/src/simulation/heartbeats.rs
+++ b/crates/gladekeel-testkit/src/simulation/heartbeats.rs
@@ -99,6 +99,7 @@
             sent_at: self.now,
         };
         let request = HttpRequest::heartbeat(heartbeat);
+        self.largest_heartbeat_bytes = self.largest_heartbeat_bytes.max(request.body.len());
         self.request(from, node, request, RESPONSE_TIMEOUT_S, move |sim, reply| {
             sim.receive_heartbeat_response(&in_flight, reply.as_ref());
         });
--- a/crates/gladekeel-testkit/src/simulation/mod.rs
+++ b/crates/gladekeel-testkit/src/simulation/mod.rs
@@ -139,6 +139,8 @@
     malformed_requests: u64,
     lease_s: f64,
     heartbeat_interval_s: f64,
+    /// Size in bytes of the largest heartbeat that a worker has sent.
+    pub largest_heartbeat_bytes: usize,
     trace: DecisionTrace,
 }
 
@@ -175,6 +177,7 @@
             heartbeat_interval_s: params.workers.heartbeat_interval_s,
             invariants: InvariantChecker::new(params),
             malformed_requests: 0,
+            largest_heartbeat_bytes: 0,
             partitions: Vec::new(),
             duplicated_request_share: 0.0,
             duplicated_heartbeat_share: 0.0,
