Logs and metrics: who leads, what was read, why an attempt was released or forgotten

In the incident the logs of four of five controllers said nothing between their start and the end, and the leader's did not show that a forget had gone out between the two starts of the attempt.

Each controller now logs each change of the leader key that it reads. A takeover logs its beginning and how long it read the log. The leader logs releases that no reported exit proves, with what proves them, and forgets of attempts that ended otherwise than done, with the token. `ended_attempts_kept` is the number of attempts that workers must not forget yet; `heartbeats_total` counts how heartbeats were answered.

--- a/crates/gladekeel-controller/src/leader/assignment_log/replay.rs
+++ b/crates/gladekeel-controller/src/leader/assignment_log/replay.rs
@@ -11,6 +11,7 @@
     assignment_log::{Assignment, ProgressPage, Release, Segment, UnreadableSegment, decode},
     leader::{
         AssignmentPhase, Attempt, AttemptId, AttemptOutcome, Job, Leader, Machine, StopReason,
+        reconciliation::release::ReleaseProof,
     },
     task_bitmap::page_of,
 };
@@ -52,6 +53,11 @@
         segments.sort_by_key(|stored| stored.segment.sequence);
         Ok(DecodedLog(segments))
     }
+
+    /// The number of segments in the log.
+    pub fn segment_count(&self) -> usize {
+        self.0.len()
+    }
 }
 
 fn decode_row(row: LogRow) -> Result<StoredSegment, UnreadableSegment> {
@@ -80,7 +86,7 @@
             self.replay_segment(stored, &mut unreleased);
         }
         let assigned = self.restore_attempts(now, unreleased);
-        self.resume_jobs(&assigned);
+        self.resume_jobs(now, &assigned);
         self.reclaim_log_slots();
     }
 
@@ -208,7 +214,7 @@
 
     /// Restores the pending tasks and pending writes of each job, and stops the attempts that must
     /// not continue.
-    fn resume_jobs(&mut self, assigned: &HashMap<JobIdx, HashSet<u32>>) {
+    fn resume_jobs(&mut self, now: f64, assigned: &HashMap<JobIdx, HashSet<u32>>) {
         let mut done_attempts = Vec::new();
         let mut incomplete_gangs = Vec::new();
         for (job_idx, job) in &mut self.jobs {
@@ -239,7 +245,7 @@
             }
         }
         for id in done_attempts {
-            self.release(id, AttemptOutcome::Done);
+            self.release(now, id, AttemptOutcome::Done, ReleaseProof::StoredCompletion);
         }
         for job_idx in incomplete_gangs {
             self.stop_gang(job_idx, StopReason::GangRestart);
--- a/crates/gladekeel-controller/src/leader/commands/request.rs
+++ b/crates/gladekeel-controller/src/leader/commands/request.rs
@@ -113,6 +113,7 @@
             return None;
         }
         machine.commands.begin_request(&starts);
+        self.cluster.counters.direct_starts += starts.len() as u64;
         commands.sort_by_key(|command| matches!(command, Command::Start { .. }));
         let token = self.token;
         let body = Some(DirectCommands { token, incarnation, commands });
@@ -178,7 +179,7 @@
         Some(Command::Start { task, attempt: self.reported_attempt(id) })
     }
 
-    fn task_id(&self, attempt: &Attempt) -> TaskId {
+    pub(in crate::leader) fn task_id(&self, attempt: &Attempt) -> TaskId {
         TaskId { job: self.job_names.name(attempt.job).clone(), index: attempt.task_index }
     }
 }
--- a/crates/gladekeel-controller/src/leader/failure_detection/evacuation.rs
+++ b/crates/gladekeel-controller/src/leader/failure_detection/evacuation.rs
@@ -3,7 +3,7 @@
 
 use crate::leader::{
     AssignmentPhase, Attempt, AttemptId, AttemptOutcome, ClusterState, Job, Leader, Machine,
-    StopReason, machine::DeletionReason,
+    StopReason, machine::DeletionReason, reconciliation::release::ReleaseProof,
 };
 use gladekeel_sched::{JobIdx, MachineIdx};
 use std::collections::BTreeMap;
@@ -59,7 +59,7 @@
         }
         self.withdraw_proposals(&evacuation.withdraw, now);
         for id in evacuation.release {
-            self.release(id, AttemptOutcome::Requeued);
+            self.release(now, id, AttemptOutcome::Requeued, ReleaseProof::MachineDeleted);
         }
     }
 
--- a/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
+++ b/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
@@ -101,12 +101,15 @@
         self.starts.contains_key(&id)
     }
 
-    /// Whether there is no room left, and most of it is taken by attempts that the worker only
-    /// lists because of their starts. `is_assigned` says whether an attempt is still assigned to
-    /// the machine.
+    /// The number of attempts that have ended and that the worker only lists because of their
+    /// starts. `is_assigned` says whether an attempt is still assigned to the machine.
+    pub fn ended(&self, is_assigned: impl Fn(&AttemptId) -> bool) -> usize {
+        self.starts.keys().filter(|id| !is_assigned(id)).count()
+    }
+
+    /// Whether there is no room left, and ended attempts take most of it.
     pub fn are_mostly_ended(&self, is_assigned: impl Fn(&AttemptId) -> bool) -> bool {
-        let ended = || self.starts.keys().filter(|id| !is_assigned(id)).count();
-        self.room() == 0 && ended() > MAX_DIRECT_STARTS / 2
+        self.room() == 0 && self.ended(is_assigned) > MAX_DIRECT_STARTS / 2
     }
 
     /// How many more tasks may be started directly on the machine.
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod assignment_log;
 mod attempt;
 mod attempt_id;
+mod attempt_log;
 mod attempt_numbers;
 mod attempt_table;
 mod autoscaling;
@@ -52,6 +53,7 @@
     runtime_settings::RuntimeSettings, socket_budget::SocketBudget, store_view::StoreView,
 };
 use assignment_log::AssignmentLogWriter;
+use attempt_log::AttemptLog;
 use attempt_numbers::AttemptNumbers;
 use attempt_table::AttemptTable;
 use autoscaling::cost::CostAccounting;
@@ -116,6 +118,7 @@
     /// Assignments of tasks to machines, from their proposal until their release is committed.
     attempts: AttemptTable,
     attempt_numbers: AttemptNumbers,
+    attempt_log: AttemptLog,
 
     /// Observed state: the machines and the requests to the cloud.
     cluster: ClusterState,
@@ -200,6 +203,7 @@
             teams: team_quotas(&deployment),
             attempts: AttemptTable::default(),
             attempt_numbers: AttemptNumbers::of_token(token),
+            attempt_log: AttemptLog::default(),
             cluster,
             log_writer: AssignmentLogWriter::new(&deployment, store),
             failure_detector: FailureDetector::new(now, &deployment.workers, reachable_zones),
--- a/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
@@ -1,11 +1,14 @@
 //! Reconciliation of individual attempts with the tasks reported by a heartbeat.
 
-use super::heartbeat::{HeartbeatToken, TaskObservation};
+use super::{
+    heartbeat::{HeartbeatToken, TaskObservation},
+    release::ReleaseProof,
+};
 use crate::leader::{AssignmentPhase, AttemptId, AttemptOutcome, Job, Leader, StopReason};
 use gladekeel_sched::{JobIdx, MachineIdx};
 use gladekeel_wire::{
     TaskId,
-    worker::{Command, TaskState, TaskStatus},
+    worker::{Command, ExitCause, TaskState, TaskStatus},
 };
 
 /// Whether the task of an attempt may still be on its machine.
@@ -40,7 +43,7 @@
         } else if observation.may_start && self.can_start(id) {
             commands.push(Command::Start { task, attempt: self.reported_attempt(id) });
         } else if observation.token == HeartbeatToken::Current && self.can_release_absent(id) {
-            self.release(id, AttemptOutcome::Requeued);
+            self.release(now, id, AttemptOutcome::Requeued, ReleaseProof::Absent);
         }
     }
 
@@ -163,6 +166,7 @@
     /// the assignment log never assigned the attempt here, or its release is committed.
     pub(super) fn reconcile_unassigned_task(
         &mut self,
+        now: f64,
         machine_idx: MachineIdx,
         id: AttemptId,
         status: &TaskStatus,
@@ -176,12 +180,16 @@
             return;
         }
         let (task, attempt) = (status.task.clone(), status.attempt);
-        let machine = self.cluster.machines.get(&machine_idx);
+        let Some(machine) = self.cluster.machines.get(&machine_idx) else { return };
         if status.state != TaskState::Exited {
             commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
-        } else if machine.is_some_and(|machine| !machine.commands.starts.forbid_forget(id)) {
+        } else if !machine.commands.starts.forbid_forget(id) {
             // The attempt is no longer assigned here, so its release is committed. The worker
             // refuses starts under earlier tokens, and none under this one would run the task.
+            if status.cause != Some(ExitCause::Done) && self.attempt_log.may_write(now) {
+                let (token, machine) = (self.token, &machine.name);
+                tracing::info!(%task, attempt, machine, token, cause = ?status.cause, "forget sent");
+            }
             commands.push(Command::Forget { task, attempt });
         }
     }
--- a/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
@@ -5,6 +5,7 @@
 //! missing from a heartbeat is proven to be off the machine only if the worker built the heartbeat
 //! under this leader's fencing token.
 
+use super::release::ReleaseProof;
 use crate::leader::{
     AttemptId, AttemptOutcome, Leader, Machine,
     machine::{ExpectedEffects, MessageOrder},
@@ -108,9 +109,10 @@
             self.reconcile_attempt(now, id, observation, commands);
         }
         for (id, status) in reported {
-            self.reconcile_unassigned_task(machine_idx, id, status, token, commands);
+            self.reconcile_unassigned_task(now, machine_idx, id, status, token, commands);
         }
         sort_and_limit_commands(commands);
+        self.cluster.counters.count_heartbeat_commands(commands);
         if let Some(machine) = self.cluster.machines.get_mut(&machine_idx) {
             let knows_token = token == HeartbeatToken::Current;
             machine.acknowledgements.expect(ExpectedEffects::of_response(commands, knows_token));
@@ -164,17 +166,22 @@
             }
             self.cluster.leaving.insert(machine_idx);
         }
-        self.release_earlier_incarnations(machine_idx, heartbeat.incarnation);
+        self.release_earlier_incarnations(now, machine_idx, heartbeat.incarnation);
         self.set_zone(machine_idx, zone);
         Some(machine_idx)
     }
 
     /// Releases the attempts of earlier incarnations. They are off the machine, since a worker
     /// kills and forgets all tasks before it starts a new incarnation.
-    fn release_earlier_incarnations(&mut self, machine_idx: MachineIdx, incarnation: u64) {
+    fn release_earlier_incarnations(
+        &mut self,
+        now: f64,
+        machine_idx: MachineIdx,
+        incarnation: u64,
+    ) {
         for id in self.attempts_on(machine_idx) {
             if self.attempts.get(id).is_some_and(|attempt| attempt.incarnation < incarnation) {
-                self.release(id, AttemptOutcome::Requeued);
+                self.release(now, id, AttemptOutcome::Requeued, ReleaseProof::NewIncarnation);
             }
         }
     }
--- a/crates/gladekeel-controller/src/leader/reconciliation/release.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/release.rs
@@ -6,13 +6,48 @@
 //! used.
 
 use crate::leader::{AssignmentPhase, Attempt, AttemptId, AttemptOutcome, Leader, StopReason};
-use gladekeel_sched::{DenseIndex, JobIdx};
+use gladekeel_sched::{DenseIndex, JobIdx, MachineIdx};
+use std::fmt;
+
+/// What proves that an attempt is off its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::leader) enum ReleaseProof {
+    /// The worker reported that the task exited.
+    Exited,
+    /// A heartbeat under the current token does not contain the task, and no command in transit can
+    /// start it.
+    Absent,
+    /// The worker has begun a newer incarnation.
+    NewIncarnation,
+    /// The cloud has confirmed the deletion of the machine.
+    MachineDeleted,
+    /// The store records that the task is complete.
+    StoredCompletion,
+}
+
+impl fmt::Display for ReleaseProof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReleaseProof::Exited => "exited",
+            ReleaseProof::Absent => "absent",
+            ReleaseProof::NewIncarnation => "new incarnation",
+            ReleaseProof::MachineDeleted => "machine deleted",
+            ReleaseProof::StoredCompletion => "stored completion",
+        })
+    }
+}
 
 impl Leader {
-    /// Starts the release of an attempt that the caller has proven to be off its machine. The
-    /// release is added to the pending writes of the assignment log. Does nothing unless the
-    /// attempt is in the `Committed` phase.
-    pub(in crate::leader) fn release(&mut self, id: AttemptId, outcome: AttemptOutcome) {
+    /// Starts the release of an attempt that is proven to be off its machine. The release is added
+    /// to the pending writes of the assignment log. Does nothing unless the attempt is in the
+    /// `Committed` phase.
+    pub(in crate::leader) fn release(
+        &mut self,
+        now: f64,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+        proof: ReleaseProof,
+    ) {
         let released = self.attempts.update(id, |attempt| {
             let is_committed = attempt.phase == AssignmentPhase::Committed;
             if is_committed {
@@ -22,6 +57,10 @@
         });
         let Some((job_idx, task_index, machine_idx)) = released.flatten() else { return };
         self.log_writer.pending().add_release(id);
+        self.cluster.counters.releases.count(proof);
+        if outcome != AttemptOutcome::Done {
+            self.log_release(now, id, machine_idx, proof);
+        }
         if outcome == AttemptOutcome::Done
             && let Some(machine) = self.cluster.machines.get_mut(&machine_idx)
         {
@@ -38,6 +77,29 @@
         }
     }
 
+    /// Logs the release of an attempt whose task is not complete. An exit that the worker reported
+    /// has a log line of its own, with its cause.
+    fn log_release(
+        &mut self,
+        now: f64,
+        id: AttemptId,
+        machine_idx: MachineIdx,
+        proof: ReleaseProof,
+    ) {
+        if proof == ReleaseProof::Exited || !self.attempt_log.may_write(now) {
+            return;
+        }
+        let Some(attempt) = self.attempts.get(id) else { return };
+        tracing::info!(
+            task = %self.task_id(attempt),
+            attempt = self.reported_attempt(id),
+            machine = self.cluster.machine_names.name(machine_idx),
+            token = self.token,
+            %proof,
+            "attempt released"
+        );
+    }
+
     /// Applies the outcome of one task to its gang. The tasks of a gang complete together, so one
     /// completed task shows that all tasks are complete. After any other outcome, the gang is
     /// restarted if it has started and is not finished.
--- a/crates/gladekeel-controller/src/leader/reconciliation/task_exit.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/task_exit.rs
@@ -3,6 +3,7 @@
 //! Reconciliation calls this module when a worker reports that a task has exited. This report
 //! proves that the attempt is off the machine.
 
+use super::release::ReleaseProof;
 use crate::leader::{AttemptId, AttemptOutcome, Leader, StopReason, machine::DeletionReason};
 use gladekeel_sched::{JobIdx, MachineIdx};
 use gladekeel_wire::job::JobKind;
@@ -49,16 +50,17 @@
             return;
         }
         let outcome = self.handle_exit(now, exited, status);
-        if outcome != AttemptOutcome::Done {
+        if outcome != AttemptOutcome::Done && self.attempt_log.may_write(now) {
             tracing::info!(
                 task = %status.task,
+                attempt = status.attempt,
                 machine = self.cluster.machine_names.name(exited.machine),
                 cause = ?status.cause,
                 stop_reason = ?exited.stop_reason,
                 "task exited before completion"
             );
         }
-        self.release(id, outcome);
+        self.release(now, id, outcome, ReleaseProof::Exited);
     }
 
     /// Applies the effects of an exit, which depend on the cause of the exit. Returns the outcome
@@ -167,11 +169,13 @@
     fn handle_refused_start(&mut self, now: f64, exited: ExitedAttempt, status: &TaskStatus) {
         let Some(machine) = self.cluster.machines.get_mut(&exited.machine) else { return };
         machine.quarantine.record_refusal(now);
-        tracing::warn!(
-            machine = machine.name,
-            task = %status.task,
-            cause = ?status.cause,
-            "task start refused"
-        );
+        if self.attempt_log.may_write(now) {
+            tracing::warn!(
+                machine = machine.name,
+                task = %status.task,
+                cause = ?status.cause,
+                "task start refused"
+            );
+        }
     }
 }
--- a/crates/gladekeel-controller/src/leader/status.rs
+++ b/crates/gladekeel-controller/src/leader/status.rs
@@ -54,6 +54,14 @@
         self.log_writer.segment_count()
     }
 
+    /// The number of ended attempts that workers must not forget yet, since a copy of a direct start
+    /// would run the task again.
+    pub fn kept_ended_attempts(&self) -> usize {
+        let kept =
+            |machine: &Machine| machine.commands.starts.ended(|id| machine.attempts().contains(id));
+        self.cluster.machines.values().map(kept).sum()
+    }
+
     /// The time since the oldest unfinished job was submitted, in seconds; `None` if all jobs are
     /// finished.
     pub fn oldest_job_s(&self, now: f64) -> Option<f64> {
--- a/crates/gladekeel-controller/src/node/heartbeats/mod.rs
+++ b/crates/gladekeel-controller/src/node/heartbeats/mod.rs
@@ -32,12 +32,28 @@
 /// HTTP status that redirects a worker to another node.
 const STATUS_MISDIRECTED: u16 = 421;
 
+/// How many heartbeats this node has answered in each way.
+#[derive(Debug, Default)]
+struct AnswerCounts {
+    /// With this node's own response: it leads, or renews the lease without the leader.
+    responded: u64,
+    /// With the leader's response, which a peer has sent.
+    relayed: u64,
+    /// With a lease renewal of this node, because the leader did not respond in time.
+    relay_timed_out: u64,
+    /// With a redirection to another node.
+    redirected: u64,
+    /// With an error, because this node was not entitled to answer.
+    refused: u64,
+}
+
 /// The state that a node keeps about workers' heartbeats.
 #[derive(Debug)]
 pub(super) struct WorkerHeartbeats {
     router: HeartbeatRouter,
     balancer: HeartbeatBalancer,
     relays: HeartbeatRelays,
+    answers: AnswerCounts,
 }
 
 impl WorkerHeartbeats {
@@ -48,8 +64,23 @@
             router: HeartbeatRouter::default(),
             balancer: HeartbeatBalancer::new(deployment, peers),
             relays: HeartbeatRelays::default(),
+            answers: AnswerCounts::default(),
         }
     }
+
+    /// How many heartbeats this node has answered, by the metric label of the answer.
+    pub fn answer_counts(&self) -> [(&'static str, f64); 5] {
+        let AnswerCounts { responded, relayed, relay_timed_out, redirected, refused } =
+            self.answers;
+        [
+            ("responded", responded),
+            ("relayed", relayed),
+            ("relay timed out", relay_timed_out),
+            ("redirected", redirected),
+            ("refused", refused),
+        ]
+        .map(|(answer, count)| (answer, count as f64))
+    }
 }
 
 impl Node {
@@ -63,20 +94,26 @@
         if let Some(leader) = self.leadership.leader_mut() {
             leader.record_heartbeat(now, &heartbeat);
             if let Some(redirect) = self.rebalance(now, &heartbeat, HeartbeatReceiver::Leader) {
+                self.heartbeats.answers.redirected += 1;
                 return self.reply(now, request, Reply::json(STATUS_MISDIRECTED, &redirect));
             }
         }
         match self.route_heartbeat(now, &heartbeat) {
             HeartbeatRoute::Respond(response) => {
+                self.heartbeats.answers.responded += 1;
                 self.reply(now, request, Reply::json(STATUS_OK, &response));
             }
             HeartbeatRoute::Relay { peer, fallback } => {
                 self.relay_heartbeat(now, peer, request, body, fallback);
             }
             HeartbeatRoute::Redirect(redirect) => {
+                self.heartbeats.answers.redirected += 1;
                 self.reply(now, request, Reply::json(STATUS_MISDIRECTED, &redirect));
             }
-            HeartbeatRoute::NotEntitled => self.reply(now, request, not_entitled()),
+            HeartbeatRoute::NotEntitled => {
+                self.heartbeats.answers.refused += 1;
+                self.reply(now, request, not_entitled());
+            }
         }
     }
 
@@ -162,8 +199,14 @@
     pub(super) fn expire_heartbeat_relays(&mut self, now: f64) {
         while let Some(relay) = self.heartbeats.relays.take_overdue(now) {
             let reply = match relay.fallback.filter(|_| self.may_renew_leases(now)) {
-                Some(response) => Reply::json(STATUS_OK, &response),
-                None => not_entitled(),
+                Some(response) => {
+                    self.heartbeats.answers.relay_timed_out += 1;
+                    Reply::json(STATUS_OK, &response)
+                }
+                None => {
+                    self.heartbeats.answers.refused += 1;
+                    not_entitled()
+                }
             };
             self.reply(now, relay.request, reply);
         }
@@ -212,6 +255,7 @@
     pub(super) fn on_relayed_response(&mut self, now: f64, header: &FrameHeader, payload: &[u8]) {
         let call = header.correlation_id.get();
         let Some(relay) = self.heartbeats.relays.finish(call) else { return };
+        self.heartbeats.answers.relayed += 1;
         let reply = Reply::from_json_bytes(header.status.get(), payload.to_vec());
         self.reply(now, relay.request, reply);
     }
--- a/crates/gladekeel-controller/src/node/leadership/mod.rs
+++ b/crates/gladekeel-controller/src/node/leadership/mod.rs
@@ -50,6 +50,8 @@
     resignations: ResignationBackoff,
     /// When a commit in doubt was last looked up in the store.
     confirmation_sent_at: f64,
+    /// The leader key as of the last read, for the log; `None` while there is none.
+    observed: Option<(LeaderRecord, u64)>,
 }
 
 impl Leadership {
@@ -63,6 +65,7 @@
             acquisition_count: 0,
             resignations: ResignationBackoff::default(),
             confirmation_sent_at: 0.0,
+            observed: None,
         }
     }
 
@@ -121,6 +124,7 @@
     /// changes nothing. A takeover also begins if this node already leads and the leader key has a
     /// new token.
     pub fn follow_leader_key(&mut self, now: f64, stored: Option<&(LeaderRecord, u64)>) {
+        self.log_leader_key(stored);
         let Some((_, token)) = stored.filter(|(record, _)| *record == self.record) else {
             if let Role::Leading(leader) = std::mem::replace(&mut self.role, Role::Follower) {
                 tracing::warn!(token = leader.token, "stepped down: the leader key has changed");
@@ -137,6 +141,20 @@
         }
     }
 
+    /// Logs a change of the leader key, which every node sees.
+    fn log_leader_key(&mut self, stored: Option<&(LeaderRecord, u64)>) {
+        if self.observed.as_ref() == stored {
+            return;
+        }
+        self.observed = stored.cloned();
+        match stored {
+            Some((LeaderRecord { node, incarnation }, token)) => {
+                tracing::info!(leader = node, incarnation, token, "leader key changed");
+            }
+            None => tracing::info!("leader key removed"),
+        }
+    }
+
     /// Begins a takeover under `token`. What this incarnation learned about the cluster while
     /// leading under a lower token remains valid and is carried over.
     fn begin_takeover(&mut self, now: f64, token: u64) {
@@ -146,6 +164,8 @@
             Role::Follower => None,
         };
         self.acquisition_count += u64::from(previous.is_none());
+        let is_renewal = previous.is_some();
+        tracing::info!(token, is_renewal, "takeover began");
         self.role = Role::TakingOver(Box::new(Takeover::new(token, now, previous)));
     }
 
--- a/crates/gladekeel-controller/src/node/leadership/takeover.rs
+++ b/crates/gladekeel-controller/src/node/leadership/takeover.rs
@@ -70,6 +70,7 @@
 #[derive(Debug)]
 pub(super) struct Takeover {
     token: u64,
+    began_at: f64,
     /// The keys and values of the log that have been read so far.
     rows: Vec<KeyValue>,
     /// Whether a read of a page is in flight.
@@ -84,7 +85,14 @@
 impl Takeover {
     /// Creates a takeover that has not read any page yet.
     pub fn new(token: u64, now: f64, previous: Option<PreviousTerm>) -> Takeover {
-        Takeover { token, rows: Vec::new(), in_flight: false, not_before: now, previous }
+        Takeover {
+            token,
+            began_at: now,
+            rows: Vec::new(),
+            in_flight: false,
+            not_before: now,
+            previous,
+        }
     }
 
     /// The fencing token under which this node takes over.
@@ -185,6 +193,9 @@
 
     fn complete_takeover(&mut self, now: f64, token: u64, log: DecodedLog) {
         let Some(takeover) = self.leadership.takeover_under_mut(token) else { return };
+        let read_s = now - takeover.began_at;
+        let segments = log.segment_count();
+        tracing::info!(token, segments, read_s, "assignment log read");
         let (cluster, cloud_outcomes) = match takeover.previous.take() {
             Some(previous) => (Some(previous.cluster), previous.cloud_outcomes),
             None => (None, Vec::new()),
--- a/crates/gladekeel-controller/src/node/metrics.rs
+++ b/crates/gladekeel-controller/src/node/metrics.rs
@@ -134,6 +134,9 @@
         out.counter("state_writes_total", "Puts and deletes asked for.", writes);
         let queued = self.user_requests.len() as f64;
         out.gauge("waiting_requests", "Requests that wait for the store.", queued);
+        let answers = self.heartbeats.answer_counts();
+        let help = "Heartbeats of workers answered, by how.";
+        out.family(MetricType::Counter, "heartbeats_total", help, "answer", answers);
     }
 }
 
@@ -147,6 +150,8 @@
     out.gauge("oldest_job_seconds", "Age of the oldest unfinished job.", oldest_s);
     let segments = leader.log_segments() as f64;
     out.gauge("log_segments", "Segments of the leader's log in use.", segments);
+    let kept = leader.kept_ended_attempts() as f64;
+    out.gauge("ended_attempts_kept", "Ended attempts that workers must not forget yet.", kept);
     let backlog = leader.backlog();
     out.gauge("open_jobs", "Unfinished jobs.", backlog.jobs as f64);
     out.gauge("waiting_tasks", "Tasks on no machine.", backlog.pending_tasks as f64);
@@ -167,11 +172,28 @@
         ("task_restarts_total", "Tasks started anew for slowness.", counters.straggler_restarts),
         ("preemptions_total", "Tasks stopped to make room.", counters.preemptions),
         ("task_failures_total", "Tasks that failed.", counters.task_failures),
+        ("direct_starts_total", "Starts sent outside heartbeats.", counters.direct_starts),
+        (
+            "heartbeat_starts_total",
+            "Starts sent in heartbeat responses.",
+            counters.heartbeat_starts,
+        ),
+        ("forgets_total", "Forget commands sent.", counters.forgets),
         ("machines_rented_total", "Machines rented.", counters.machines_rented),
         ("machines_deleted_total", "Machines deleted.", counters.machines_deleted),
     ] {
         out.counter(name, help, value as f64);
     }
+    let releases = [
+        ("exited", counters.releases.exited),
+        ("absent", counters.releases.absent),
+        ("new incarnation", counters.releases.new_incarnation),
+        ("machine deleted", counters.releases.machine_deleted),
+        ("stored completion", counters.releases.stored_completion),
+    ];
+    let releases = releases.map(|(proof, count)| (proof, count as f64));
+    let help = "Attempts released, by proof.";
+    out.family(MetricType::Counter, "attempts_released_total", help, "proof", releases);
     let cost = [
         ("boot", counters.cost.boot),
         ("idle", counters.cost.idle),
