Node: a worker is redirected only if its lease outlasts a redirection in vain

No rule is broken; running work is lost.

It tries the leader and another controller in vain, 5 s each, and comes at 170.4 s, with 9.9 s of its lease left, to the controller of its own zone, which has contact with the store. That one does not see the leader itself, but redirects the worker there, because the store names it. The worker tries the same two once more; its lease ends 0.1 s before it is back. A redirect is an action on knowledge of a link that the sender has not got.

A node that may renew leases now redirects a worker only if it has itself answered or relayed the worker's previous heartbeat, so recently that the lease outlasts a try at every other controller, and not within 45 s after a redirection (12 s before, if it could not relay). It renews the lease of all others. A leader that spreads its workers over its peers serves each worker that it has not heard from within the longest interval of heartbeats before it redirects it.

--- a/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
@@ -124,6 +124,14 @@
         response
     }
 
+    /// The time since the last heartbeat of a machine, in seconds; infinite if none is known.
+    pub fn heartbeat_age_s(&self, now: f64, machine: &str) -> f64 {
+        let machine_idx = self.cluster.machine_names.get(machine);
+        let machine = machine_idx.and_then(|idx| self.cluster.machines.get(&idx));
+        let heard = machine.filter(|machine| machine.liveness.last_heartbeat_incarnation() > 0);
+        heard.map_or(f64::INFINITY, |machine| machine.liveness.heartbeat_age_s(now))
+    }
+
     /// Records that a heartbeat has reached this controller. While the leader may not renew
     /// leases, nothing else about the heartbeat is recorded.
     pub fn record_heartbeat(&mut self, now: f64, heartbeat: &Heartbeat) {
--- a/crates/gladekeel-controller/src/node/heartbeats/mod.rs
+++ b/crates/gladekeel-controller/src/node/heartbeats/mod.rs
@@ -7,6 +7,7 @@
 //! time.
 
 pub mod balancing;
+mod redirections;
 mod relays;
 mod routing;
 
@@ -61,7 +62,7 @@
     /// controllers.
     pub fn new(deployment: &Deployment, peers: usize) -> WorkerHeartbeats {
         WorkerHeartbeats {
-            router: HeartbeatRouter::default(),
+            router: HeartbeatRouter::new(deployment, peers),
             balancer: HeartbeatBalancer::new(deployment, peers),
             relays: HeartbeatRelays::default(),
             answers: AnswerCounts::default(),
@@ -92,8 +93,10 @@
             Err(error) => return self.reply(now, request, Reply::error(400, error.to_string())),
         };
         if let Some(leader) = self.leadership.leader_mut() {
+            let previous_age_s = leader.heartbeat_age_s(now, &heartbeat.machine);
             leader.record_heartbeat(now, &heartbeat);
-            if let Some(redirect) = self.rebalance(now, &heartbeat, HeartbeatReceiver::Leader) {
+            let receiver = HeartbeatReceiver::Leader;
+            if let Some(redirect) = self.rebalance(now, &heartbeat, receiver, previous_age_s) {
                 self.heartbeats.answers.redirected += 1;
                 return self.reply(now, request, Reply::json(STATUS_MISDIRECTED, &redirect));
             }
@@ -140,13 +143,14 @@
     }
 
     /// Records a heartbeat that `receiver` has received, and returns a redirection if the worker
-    /// should send its heartbeats to another controller. Must only be called while this node
-    /// leads.
+    /// should send its heartbeats to another controller. `previous_age_s` is the time since the
+    /// worker's previous heartbeat. Must only be called while this node leads.
     fn rebalance(
         &mut self,
         now: f64,
         heartbeat: &Heartbeat,
         receiver: HeartbeatReceiver,
+        previous_age_s: f64,
     ) -> Option<Redirect> {
         if !self.may_renew_leases(now) {
             return None;
@@ -156,7 +160,12 @@
                 && peer.is_reachable(now)
                 && peer.store_contact_age_ms < MAX_RELAY_CONTACT_AGE_MS
         };
-        let can_relay: Vec<bool> = self.peers.iter().map(peer_can_relay).collect();
+        let mut can_relay: Vec<bool> = self.peers.iter().map(peer_can_relay).collect();
+        if previous_age_s > self.deployment.workers.heartbeat_timeout_s() {
+            // The worker may come from controllers that it could not reach, with little of its
+            // lease left for a redirection in vain.
+            can_relay.fill(false);
+        }
         let balancer = &mut self.heartbeats.balancer;
         let name = match balancer.rebalance(now, &heartbeat.machine, receiver, &can_relay)? {
             HeartbeatReceiver::Peer(peer) => &self.peers.get(peer).name,
@@ -229,6 +238,7 @@
         if !may_renew_leases || heartbeat.token > leader.token {
             return;
         }
+        let previous_age_s = leader.heartbeat_age_s(now, &heartbeat.machine);
         let response = leader.on_heartbeat(now, &heartbeat, has_fresh_contact);
         // A redirection must not replace a response with a new token or commands: the worker's next
         // heartbeat is expected to show the effect of the response.
@@ -236,7 +246,7 @@
         let redirect = if has_effect {
             None
         } else {
-            self.rebalance(now, &heartbeat, HeartbeatReceiver::Peer(peer))
+            self.rebalance(now, &heartbeat, HeartbeatReceiver::Peer(peer), previous_age_s)
         };
         let (status, body) = match redirect {
             Some(redirect) => (STATUS_MISDIRECTED, serde_json::to_vec(&redirect)),
--- a/crates/gladekeel-controller/src/node/heartbeats/routing.rs
+++ b/crates/gladekeel-controller/src/node/heartbeats/routing.rs
@@ -1,18 +1,12 @@
 //! Routing of heartbeats: this node responds, relays to the leader, or redirects the worker to
 //! the leader.
 
+use super::redirections::Redirections;
 use crate::{leader::Leader, store_view::StoreView};
-use gladekeel_wire::worker::{Command, Heartbeat, HeartbeatResponse, Redirect, TaskState};
-use std::collections::{HashMap, VecDeque};
-
-/// Time after a redirection to the leader within which a worker is not redirected again: a worker
-/// that returns to this node so soon could not reach the leader.
-const REDIRECT_AGAIN_AFTER_S: f64 = 12.0;
-/// Replaces [`REDIRECT_AGAIN_AFTER_S`] while heartbeats can be relayed to the leader. The time is
-/// longer because the leader receives relayed heartbeats even if the worker is not redirected.
-const REDIRECT_AGAIN_WITH_RELAY_AFTER_S: f64 = 45.0;
-/// How long a redirection is remembered.
-const REDIRECTION_TTL_S: f64 = 10.0 * REDIRECT_AGAIN_AFTER_S;
+use gladekeel_wire::{
+    settings::Deployment,
+    worker::{Command, Heartbeat, HeartbeatResponse, Redirect, TaskState},
+};
 
 /// How a node handles a heartbeat.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,24 +55,18 @@
     pub leader_peer: Option<LeaderPeer>,
 }
 
-/// A redirection of a worker to the leader.
-#[derive(Debug, Clone, Copy)]
-struct Redirection {
-    redirected_at: f64,
-    /// The highest fencing token that this node knew at the time of the redirection.
-    token: u64,
-}
-
-/// Routes heartbeats and remembers which workers were redirected to the leader.
-#[derive(Debug, Default)]
+/// Routes heartbeats.
+#[derive(Debug)]
 pub(super) struct HeartbeatRouter {
-    /// The last redirection of each machine.
-    redirections: HashMap<String, Redirection>,
-    /// The times and machines of all redirections, oldest first, for expiry.
-    by_time: VecDeque<(f64, String)>,
+    redirections: Redirections,
 }
 
 impl HeartbeatRouter {
+    /// Creates the router of a node with `peers` peers.
+    pub fn new(deployment: &Deployment, peers: usize) -> HeartbeatRouter {
+        HeartbeatRouter { redirections: Redirections::new(deployment, peers) }
+    }
+
     /// Decides how to handle a heartbeat. `leader` is the leader's state if this node leads.
     pub fn route(
         &mut self,
@@ -89,54 +77,29 @@
         if let Some(leader) = leader {
             return respond_as_leader(context, leader, heartbeat);
         }
-        if let Some(LeaderPeer { index, expects_relays: true }) = context.leader_peer {
-            let fallback = lease_renewal(context, heartbeat);
-            return HeartbeatRoute::Relay { peer: index, fallback };
-        }
+        let renewal = lease_renewal(context, heartbeat);
+        let expects_relays = context.leader_peer.is_some_and(|peer| peer.expects_relays);
         if let Some(name) = context.other_leader
-            && self.should_redirect(context, &heartbeat.machine)
+            && !expects_relays
+            && self.redirections.try_redirect(
+                context.now,
+                &heartbeat.machine,
+                context.store.highest_token,
+                renewal.is_some(),
+            )
         {
             return HeartbeatRoute::Redirect(Redirect { controller: Some(name.to_owned()) });
         }
-        // Either no leader is known, or the worker could not reach the leader.
-        match (lease_renewal(context, heartbeat), context.leader_peer) {
-            (None, _) => HeartbeatRoute::NotEntitled,
+        if renewal.is_some() {
+            self.redirections.record_renewal(context.now, &heartbeat.machine);
+        }
+        match (renewal, context.leader_peer) {
+            (None, None) => HeartbeatRoute::NotEntitled,
+            (None, Some(_)) if !expects_relays => HeartbeatRoute::NotEntitled,
             (Some(response), None) => HeartbeatRoute::Respond(response),
             (fallback, Some(peer)) => HeartbeatRoute::Relay { peer: peer.index, fallback },
         }
     }
-
-    /// Returns whether a worker should be redirected to the leader, and if so records the
-    /// redirection.
-    fn should_redirect(&mut self, context: &HeartbeatContext<'_>, machine: &str) -> bool {
-        let (now, token) = (context.now, context.store.highest_token);
-        self.expire(now);
-        let again_after_s = if context.leader_peer.is_some() {
-            REDIRECT_AGAIN_WITH_RELAY_AFTER_S
-        } else {
-            REDIRECT_AGAIN_AFTER_S
-        };
-        let was_redirected = self
-            .redirections
-            .get(machine)
-            .is_some_and(|last| now - last.redirected_at < again_after_s && last.token == token);
-        if !was_redirected {
-            let redirection = Redirection { redirected_at: now, token };
-            self.redirections.insert(machine.to_owned(), redirection);
-            self.by_time.push_back((now, machine.to_owned()));
-        }
-        !was_redirected
-    }
-
-    fn expire(&mut self, now: f64) {
-        while self.by_time.front().is_some_and(|(time, _)| now - time >= REDIRECTION_TTL_S) {
-            let Some((time, machine)) = self.by_time.pop_front() else { return };
-            // A later redirection of the machine must be kept.
-            if self.redirections.get(&machine).is_some_and(|last| last.redirected_at <= time) {
-                self.redirections.remove(&machine);
-            }
-        }
-    }
 }
 
 fn respond_as_leader(
