Leader: direct starts are recorded as the worker reports them

What callers would see: tasks of a cancelled gang that wait or run again, later than cancel_s.

Cause, the same check on one path and not on another: the tasks of a gang share an attempt number, and the leader derives an attempt's id from the number and the task if it knows that the job is a gang. Once a cancelled gang is removed it does not, so it looked up another id, found no direct start, and had the worker forget the attempt. Reported tasks of such a gang on one machine also had the same key, so that one hid the others until it was forgotten.

Direct starts and reported tasks are now kept by number and task index, which need no knowledge of the job.

--- a/crates/gladekeel-controller/src/leader/attempt_id.rs
+++ b/crates/gladekeel-controller/src/leader/attempt_id.rs
@@ -1,5 +1,7 @@
 //! The ids of attempts, and the numbers by which workers know attempts.
 
+use gladekeel_wire::worker::TaskStatus;
+
 /// Identifies an attempt, in this process and in the assignment log.
 ///
 /// Workers know an attempt by a number, which is the value of the id unless the task belongs to a
@@ -34,3 +36,20 @@
         self.0 - u64::from(task_index)
     }
 }
+
+/// An attempt as its worker knows it. The tasks of a gang share a number, so the index of the task
+/// belongs to it. No two attempts on a machine have the same value, also if the leader no longer
+/// knows their job and therefore not whether it is a gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReportedAttempt {
+    /// The number of the attempt.
+    pub number: u64,
+    /// The index of the task in its job.
+    pub task_index: u32,
+}
+
+impl From<&TaskStatus> for ReportedAttempt {
+    fn from(status: &TaskStatus) -> ReportedAttempt {
+        ReportedAttempt { number: status.attempt, task_index: status.task.index }
+    }
+}
--- a/crates/gladekeel-controller/src/leader/commands/request.rs
+++ b/crates/gladekeel-controller/src/leader/commands/request.rs
@@ -1,6 +1,6 @@
 //! Selection of the direct commands that are due for a machine, and the requests that carry them.
 
-use crate::leader::{Attempt, AttemptId, Leader, Machine, StopReason};
+use crate::leader::{Attempt, AttemptId, Leader, Machine, ReportedAttempt, StopReason};
 use gladekeel_sched::MachineIdx;
 use gladekeel_wire::{
     TaskId,
@@ -20,7 +20,7 @@
     pub(super) token: u64,
     pub(super) machine: MachineIdx,
     /// The attempts that the request starts.
-    pub(super) starts: Vec<AttemptId>,
+    pub(super) starts: Vec<ReportedAttempt>,
 }
 
 impl WorkerRequest {
@@ -35,7 +35,7 @@
 struct DueCommands {
     commands: Vec<Command>,
     /// The attempts that the commands start.
-    starts: Vec<AttemptId>,
+    starts: Vec<(AttemptId, ReportedAttempt)>,
 }
 
 impl Leader {
@@ -117,6 +117,7 @@
         commands.sort_by_key(|command| matches!(command, Command::Start { .. }));
         let token = self.token;
         let body = Some(DirectCommands { token, incarnation, commands });
+        let starts = starts.into_iter().map(|(_, attempt)| attempt).collect();
         Some(WorkerRequest { addr, body, token, machine: machine_idx, starts })
     }
 
@@ -136,7 +137,7 @@
                 && let Some(start) = self.due_start(id, incarnation)
             {
                 due.commands.push(start);
-                due.starts.push(id);
+                due.starts.extend(self.as_reported(id).map(|attempt| (id, attempt)));
             }
         }
         due
--- a/crates/gladekeel-controller/src/leader/commands/unanswered_starts.rs
+++ b/crates/gladekeel-controller/src/leader/commands/unanswered_starts.rs
@@ -42,14 +42,14 @@
         outcome: &WorkerOutcome,
     ) {
         let Some(machine) = self.cluster.machines.get_mut(&request.machine) else { return };
-        for id in &request.starts {
+        for attempt in &request.starts {
             match outcome {
-                WorkerOutcome::Done(_) => machine.commands.starts.record_executed(*id),
+                WorkerOutcome::Done(_) => machine.commands.starts.record_executed(*attempt),
                 WorkerOutcome::NotExecuted | WorkerOutcome::NotSent => {
-                    machine.commands.starts.record_not_executed(*id);
+                    machine.commands.starts.record_not_executed(*attempt);
                 }
                 WorkerOutcome::Unknown => {
-                    machine.commands.starts.record_unanswered(*id, now);
+                    machine.commands.starts.record_unanswered(*attempt, now);
                     self.commands.record_unanswered_start(request.machine);
                 }
             }
--- a/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
+++ b/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
@@ -5,7 +5,7 @@
 //! worker has seen a higher token or begun a new incarnation. Until then no forget command is sent
 //! for the attempt ("Direct commands" in `docs/safety.md`).
 
-use crate::leader::AttemptId;
+use crate::leader::{AttemptId, ReportedAttempt};
 use std::collections::BTreeMap;
 
 /// How many direct starts of one machine may be kept here. A machine with this many gets its starts
@@ -27,6 +27,7 @@
 /// A direct start.
 #[derive(Debug)]
 struct DirectStart {
+    id: AttemptId,
     execution: Execution,
     /// Whether the task is complete. The worker keeps the result of a completed task and does not
     /// run the task again.
@@ -37,51 +38,51 @@
 /// no longer run a task.
 #[derive(Debug, Default)]
 pub struct DirectStarts {
-    starts: BTreeMap<AttemptId, DirectStart>,
+    starts: BTreeMap<ReportedAttempt, DirectStart>,
 }
 
 impl DirectStarts {
     /// Records that a request with these starts is being sent.
-    pub fn begin(&mut self, ids: &[AttemptId]) {
-        for id in ids {
-            let start = DirectStart { execution: Execution::InFlight, completed: false };
-            self.starts.insert(*id, start);
+    pub fn begin(&mut self, starts: &[(AttemptId, ReportedAttempt)]) {
+        for (id, attempt) in starts {
+            let start = DirectStart { id: *id, execution: Execution::InFlight, completed: false };
+            self.starts.insert(*attempt, start);
         }
     }
 
     /// Records that a start received no response, unless it is no longer kept.
-    pub fn record_unanswered(&mut self, id: AttemptId, now: f64) {
-        if let Some(start) = self.starts.get_mut(&id) {
+    pub fn record_unanswered(&mut self, attempt: ReportedAttempt, now: f64) {
+        if let Some(start) = self.starts.get_mut(&attempt) {
             start.execution = Execution::Unanswered { since: now };
         }
     }
 
     /// Records that the worker has executed a start.
-    pub fn record_executed(&mut self, id: AttemptId) {
-        if let Some(start) = self.starts.get_mut(&id) {
+    pub fn record_executed(&mut self, attempt: ReportedAttempt) {
+        if let Some(start) = self.starts.get_mut(&attempt) {
             start.execution = Execution::Executed;
         }
-        self.remove_if_harmless(id);
+        self.remove_if_harmless(attempt);
     }
 
     /// Records that a start did not reach the worker, or that the worker refused it for good.
-    pub fn record_not_executed(&mut self, id: AttemptId) {
-        self.starts.remove(&id);
+    pub fn record_not_executed(&mut self, attempt: ReportedAttempt) {
+        self.starts.remove(&attempt);
     }
 
     /// Records that the task of an attempt is complete.
-    pub fn record_completion(&mut self, id: AttemptId) {
-        if let Some(start) = self.starts.get_mut(&id) {
+    pub fn record_completion(&mut self, attempt: ReportedAttempt) {
+        if let Some(start) = self.starts.get_mut(&attempt) {
             start.completed = true;
         }
-        self.remove_if_harmless(id);
+        self.remove_if_harmless(attempt);
     }
 
-    fn remove_if_harmless(&mut self, id: AttemptId) {
+    fn remove_if_harmless(&mut self, attempt: ReportedAttempt) {
         let is_harmless =
             |start: &DirectStart| start.completed && start.execution == Execution::Executed;
-        if self.starts.get(&id).is_some_and(is_harmless) {
-            self.starts.remove(&id);
+        if self.starts.get(&attempt).is_some_and(is_harmless) {
+            self.starts.remove(&attempt);
         }
     }
 
@@ -91,20 +92,20 @@
     }
 
     /// Whether the start of an attempt may still be executed for the first time.
-    pub fn may_still_start(&self, id: AttemptId) -> bool {
-        self.starts.get(&id).is_some_and(|start| start.execution != Execution::Executed)
+    pub fn may_still_start(&self, attempt: ReportedAttempt) -> bool {
+        self.starts.get(&attempt).is_some_and(|start| start.execution != Execution::Executed)
     }
 
     /// Whether a start of this attempt would run the task again once the worker has forgotten the
     /// attempt.
-    pub fn forbid_forget(&self, id: AttemptId) -> bool {
-        self.starts.contains_key(&id)
+    pub fn forbid_forget(&self, attempt: ReportedAttempt) -> bool {
+        self.starts.contains_key(&attempt)
     }
 
     /// The number of attempts that have ended and that the worker only lists because of their
     /// starts. `is_assigned` says whether an attempt is still assigned to the machine.
     pub fn ended(&self, is_assigned: impl Fn(&AttemptId) -> bool) -> usize {
-        self.starts.keys().filter(|id| !is_assigned(id)).count()
+        self.starts.values().filter(|start| !is_assigned(&start.id)).count()
     }
 
     /// Whether there is no room left, and ended attempts take most of it.
@@ -119,8 +120,8 @@
 
     /// The starts that received no response, each with the time at which this was recorded.
     pub fn unanswered(&self) -> impl Iterator<Item = (AttemptId, f64)> {
-        self.starts.iter().filter_map(|(id, start)| match start.execution {
-            Execution::Unanswered { since } => Some((*id, since)),
+        self.starts.values().filter_map(|start| match start.execution {
+            Execution::Unanswered { since } => Some((start.id, since)),
             Execution::InFlight | Execution::Executed => None,
         })
     }
--- a/crates/gladekeel-controller/src/leader/machine/outstanding_commands.rs
+++ b/crates/gladekeel-controller/src/leader/machine/outstanding_commands.rs
@@ -2,7 +2,7 @@
 //! still have an effect.
 
 use super::DirectStarts;
-use crate::leader::AttemptId;
+use crate::leader::{AttemptId, ReportedAttempt};
 
 /// The outstanding direct commands to one worker.
 #[derive(Debug, Default)]
@@ -20,7 +20,7 @@
     }
 
     /// Records that a request with these starts is being sent.
-    pub fn begin_request(&mut self, starts: &[AttemptId]) {
+    pub fn begin_request(&mut self, starts: &[(AttemptId, ReportedAttempt)]) {
         self.in_flight = true;
         self.starts.begin(starts);
     }
--- a/crates/gladekeel-controller/src/leader/mod.rs
+++ b/crates/gladekeel-controller/src/leader/mod.rs
@@ -39,7 +39,7 @@
 
 pub use assignment_log::{CommitMarker, DecodedLog, LogRow};
 pub use attempt::{AssignmentPhase, Attempt, AttemptOutcome, StopReason};
-pub use attempt_id::AttemptId;
+pub use attempt_id::{AttemptId, ReportedAttempt};
 pub use autoscaling::cost::CostBreakdown;
 pub use cluster_state::ClusterState;
 pub use commands::{WorkerOutcome, WorkerRequest};
--- a/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
@@ -4,7 +4,9 @@
     heartbeat::{HeartbeatToken, TaskObservation},
     release::ReleaseProof,
 };
-use crate::leader::{AssignmentPhase, AttemptId, AttemptOutcome, Job, Leader, StopReason};
+use crate::leader::{
+    AssignmentPhase, AttemptId, AttemptOutcome, Job, Leader, ReportedAttempt, StopReason,
+};
 use gladekeel_sched::{JobIdx, MachineIdx};
 use gladekeel_wire::{
     TaskId,
@@ -69,8 +71,10 @@
             || self.is_job_finished(attempt.job)
             || !self.is_machine_usable(attempt.machine);
         let machine = self.cluster.machines.get(&attempt.machine);
-        must_not_start
-            && !machine.is_some_and(|machine| machine.commands.starts.may_still_start(id))
+        let may_still_start = |attempt: ReportedAttempt| {
+            machine.is_some_and(|machine| machine.commands.starts.may_still_start(attempt))
+        };
+        must_not_start && !self.as_reported(id).is_some_and(may_still_start)
     }
 
     /// Whether a job is finished or removed, so that none of its tasks may be started any more. The
@@ -183,7 +187,7 @@
         let Some(machine) = self.cluster.machines.get(&machine_idx) else { return };
         if status.state != TaskState::Exited {
             commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
-        } else if !machine.commands.starts.forbid_forget(id) {
+        } else if !machine.commands.starts.forbid_forget(status.into()) {
             // The attempt is no longer assigned here, so its release is committed. The worker
             // refuses starts under earlier tokens, and none under this one would run the task.
             if status.cause != Some(ExitCause::Done) && self.attempt_log.may_write(now) {
--- a/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/heartbeat.rs
@@ -7,7 +7,7 @@
 
 use super::release::ReleaseProof;
 use crate::leader::{
-    AttemptId, AttemptOutcome, Leader, Machine,
+    AttemptId, AttemptOutcome, Leader, Machine, ReportedAttempt,
     machine::{ExpectedEffects, MessageOrder},
 };
 use gladekeel_sched::{MachineIdx, MachineTypeIdx};
@@ -95,8 +95,8 @@
         let Some(machine_idx) = self.apply_heartbeat(now, heartbeat) else { return response };
         self.record_heartbeat(now, heartbeat);
         let token = self.heartbeat_token(heartbeat);
-        let mut reported: BTreeMap<AttemptId, &TaskStatus> =
-            heartbeat.tasks.iter().map(|task| (self.attempt_id(task), task)).collect();
+        let mut reported: BTreeMap<ReportedAttempt, &TaskStatus> =
+            heartbeat.tasks.iter().map(|task| (task.into(), task)).collect();
         self.check_acknowledgement(machine_idx, token, &reported);
         let commands = &mut response.commands;
         for id in self.attempts_on(machine_idx) {
@@ -108,7 +108,8 @@
             let observation = TaskObservation { reported: status, token, may_start };
             self.reconcile_attempt(now, id, observation, commands);
         }
-        for (id, status) in reported {
+        for status in reported.into_values() {
+            let id = self.attempt_id(status);
             self.reconcile_unassigned_task(now, machine_idx, id, status, token, commands);
         }
         sort_and_limit_commands(commands);
@@ -210,7 +211,7 @@
         &mut self,
         machine_idx: MachineIdx,
         token: HeartbeatToken,
-        reported: &BTreeMap<AttemptId, &TaskStatus>,
+        reported: &BTreeMap<ReportedAttempt, &TaskStatus>,
     ) {
         let Some(machine) = self.cluster.machines.get_mut(&machine_idx) else { return };
         let reported_attempts = reported.values().map(|task| task.attempt).collect();
@@ -224,21 +225,21 @@
         &self,
         id: AttemptId,
         heartbeat: &Heartbeat,
-        reported: &mut BTreeMap<AttemptId, &'a TaskStatus>,
+        reported: &mut BTreeMap<ReportedAttempt, &'a TaskStatus>,
     ) -> AttemptReport<'a> {
-        let Some(attempt) = self.attempts.get(id) else { return AttemptReport::NotCovered };
+        let (Some(attempt), Some(key)) = (self.attempts.get(id), self.as_reported(id)) else {
+            return AttemptReport::NotCovered;
+        };
         if attempt.incarnation != heartbeat.incarnation {
-            reported.remove(&id);
+            reported.remove(&key);
             return AttemptReport::NotCovered;
         }
-        let is_same_task = |status: &&TaskStatus| {
-            status.task.index == attempt.task_index
-                && self.job_names.name(attempt.job) == &status.task.job
-        };
-        let Some(status) = reported.get(&id).copied().filter(is_same_task) else {
+        let is_same_job =
+            |status: &&TaskStatus| self.job_names.name(attempt.job) == &status.task.job;
+        let Some(status) = reported.get(&key).copied().filter(is_same_job) else {
             return AttemptReport::Absent;
         };
-        reported.remove(&id);
+        reported.remove(&key);
         AttemptReport::Present(status)
     }
 }
--- a/crates/gladekeel-controller/src/leader/reconciliation/release.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/release.rs
@@ -62,9 +62,10 @@
             self.log_release(now, id, machine_idx, proof);
         }
         if outcome == AttemptOutcome::Done
+            && let Some(attempt) = self.as_reported(id)
             && let Some(machine) = self.cluster.machines.get_mut(&machine_idx)
         {
-            machine.commands.starts.record_completion(id);
+            machine.commands.starts.record_completion(attempt);
         }
         self.apply_outcome_to_gang(job_idx, outcome);
         let Some(job) = self.jobs.get_mut(&job_idx) else { return };
--- a/crates/gladekeel-controller/src/leader/scheduling/binding.rs
+++ b/crates/gladekeel-controller/src/leader/scheduling/binding.rs
@@ -4,7 +4,7 @@
 //! Upholds "Write ahead" of `docs/safety.md`: the start is sent only after the assignment log
 //! writer has committed the proposal.
 
-use crate::leader::{AssignmentPhase, Attempt, AttemptId, Leader, StopReason};
+use crate::leader::{AssignmentPhase, Attempt, AttemptId, Leader, ReportedAttempt, StopReason};
 use gladekeel_sched::{DenseIndex, JobIdx, MachineIdx};
 
 /// The decision to bind the next pending task of a job to a machine.
@@ -30,8 +30,8 @@
         };
         let Some(task_index) = job.pending.pop_next() else { return };
         let is_listed = |gang_attempt| {
-            let id = AttemptId::of_gang_task(gang_attempt, task_index);
-            machine.commands.starts.forbid_forget(id)
+            let attempt = ReportedAttempt { number: gang_attempt, task_index };
+            machine.commands.starts.forbid_forget(attempt)
         };
         if binding.gang_attempt.is_some_and(is_listed) {
             // The worker would ignore a start of an attempt that it still lists as exited.
--- a/crates/gladekeel-controller/src/leader/scheduling/gangs.rs
+++ b/crates/gladekeel-controller/src/leader/scheduling/gangs.rs
@@ -2,7 +2,7 @@
 //!
 //! Upholds "Gangs" of `docs/safety.md`, together with release and replay.
 
-use crate::leader::{AttemptId, Job, Leader, StopReason};
+use crate::leader::{AttemptId, Job, Leader, ReportedAttempt, StopReason};
 use gladekeel_sched::JobIdx;
 use gladekeel_wire::worker::TaskStatus;
 
@@ -66,6 +66,12 @@
         if is_gang { id.gang_number(attempt.task_index) } else { id.to_log_value() }
     }
 
+    /// Returns an attempt as its worker knows it; `None` if there is no such attempt.
+    pub(in crate::leader) fn as_reported(&self, id: AttemptId) -> Option<ReportedAttempt> {
+        let task_index = self.attempts.get(id)?.task_index;
+        Some(ReportedAttempt { number: self.reported_attempt(id), task_index })
+    }
+
     /// Returns the id of the attempt that a worker reports.
     pub(in crate::leader) fn attempt_id(&self, reported: &TaskStatus) -> AttemptId {
         let job_idx = self.job_names.get(&reported.task.job);
