Testkit: a stop that waited for a hung machine is recorded after the start

Found by random scenarios: cancellation_deadline was reported for tasks that were not on their machine any more. When a hung machine resumed, the commands that had waited were executed, and their events recorded, before the events of the step in which the worker resumed. A task whose image had arrived meanwhile and that was stopped in the same step was recorded as ended, then as started, for ever.

The events of the step are now recorded first. The test failed before.

--- a/crates/gladekeel-testkit/src/simulation/machines.rs
+++ b/crates/gladekeel-testkit/src/simulation/machines.rs
@@ -98,12 +98,11 @@
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&name) else { return };
         let events = worker.step(now);
+        let machine = worker.machine.clone();
+        self.record_events(&machine, events);
         self.execute_queued_commands(&name);
         self.send_delayed_heartbeat(&name);
-        let Some(worker) = self.workers.get(&name) else { return };
-        let machine = worker.machine.clone();
         let next_heartbeat_at = self.send_due_heartbeat(&name, heartbeat_at);
-        self.record_events(&machine, events);
         self.after(self.worker_step_s, move |sim| sim.step_worker(name, next_heartbeat_at));
     }
 
--- a/crates/gladekeel-testkit/tests/invariants/cancellation.rs
+++ b/crates/gladekeel-testkit/tests/invariants/cancellation.rs
@@ -1,6 +1,7 @@
 use super::{
     array_of_four, cancellation_deadline_s, checker_with, job_id, machine, respond, task, violated,
 };
+use gladekeel_testkit::scenario::run;
 use gladekeel_testkit::{
     invariants::JobRequest,
     scenario::{example_job, example_type},
@@ -63,3 +64,19 @@
     assert_eq!(violated_by(2.1, false), "no_start_after_cancellation cancellation_deadline");
     assert_eq!(violated_by(1.9, true), "no_start_after_cancellation cancellation_deadline");
 }
+
+/// Guards against a task that counts as being on its machine for ever, because a stop that had
+/// waited for the machine to resume was recorded before the start of the task.
+#[test]
+fn a_stop_that_waited_for_a_hung_machine_is_recorded_after_the_start() {
+    let text = "world on_demand=1 zones=a heartbeat_interval_s=10\n\
+                at 3 submit job-1 tasks=1 cpus=8 run_s=10\n\
+                at 12 http PUT /admin/settings {\"version\":0,\"settings\":{\"idle_s\":400}} = 200\n\
+                at 50 submit job-2 tasks=1 cpus=8 run_s=60 image=other image_gb=4\n\
+                at 53 hang 1 for 6\n\
+                at 53.2 cancel job-2\n\
+                until 140\n\
+                expect job-2 cancelled\n\
+                expect cancelled_tasks_on_machines = 0\n";
+    run(text).unwrap();
+}
