Leader: no new token for ended attempts while a stored value is unreadable

What callers would see: no leader until somebody repairs the value.

Cause: the renewal of the token when machines list too many ended attempts is optional, but was decided without regard to what it needs. A leader keeps leading while a stored job cannot be read, but no controller can begin to, not even under the leader's own new token.

New step `corrupt job`.

--- a/crates/gladekeel-controller/src/leader/commands/ended_attempts.rs
+++ b/crates/gladekeel-controller/src/leader/commands/ended_attempts.rs
@@ -19,7 +19,11 @@
 
 impl Leader {
     /// Whether the leader needs a new fencing token so that workers can forget ended attempts.
+    /// While a stored value cannot be read, the leader keeps its token: it could not lead under a
+    /// new one.
     pub(in crate::leader) fn ended_attempts_need_new_token(&self, now: f64) -> bool {
-        self.commands.are_direct_starts_withheld() && now - self.term_started_at > MIN_TERM_S
+        self.commands.are_direct_starts_withheld()
+            && !self.scheduling_suspended
+            && now - self.term_started_at > MIN_TERM_S
     }
 }
--- a/crates/gladekeel-controller/src/leader/commands/unanswered_starts.rs
+++ b/crates/gladekeel-controller/src/leader/commands/unanswered_starts.rs
@@ -27,9 +27,9 @@
         // Only a heartbeat under the new token proves that the worker refuses the start, so a new
         // token has no use while the machine sends no heartbeats.
         let sends_heartbeats = self.liveness.last_seen_or_known_since() > since;
-        let deletion_may_settle = self.deletion.is_requested() && now - since < DELETION_TIMEOUT_S;
+        let deletion_is_awaited = self.deletion.is_requested() && now - since < DELETION_TIMEOUT_S;
         let limit_s = if is_wanted { UNANSWERED_START_S } else { UNANSWERED_CANCELLED_START_S };
-        sends_heartbeats && !deletion_may_settle && now - since > limit_s
+        sends_heartbeats && !deletion_is_awaited && now - since > limit_s
     }
 }
 
--- a/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
+++ b/crates/gladekeel-controller/src/leader/machine/direct_starts.rs
@@ -3,7 +3,7 @@
 //! A direct start may reach the worker again at any later time, also after a response has shown
 //! that it was executed. A copy has no effect while the worker lists the attempt, or once the
 //! worker has seen a higher token or begun a new incarnation. Until then no forget command is sent
-//! for the attempt ("Direct commands" in `docs/safety.md`).
+//! for the attempt, unless its task is complete ("Forgetting" in `docs/safety.md`).
 
 use crate::leader::{AttemptId, ReportedAttempt};
 use std::collections::BTreeMap;
@@ -98,7 +98,7 @@
 
     /// Whether a start of this attempt would run the task again once the worker has forgotten the
     /// attempt.
-    pub fn forbid_forget(&self, attempt: ReportedAttempt) -> bool {
+    pub fn forbids_forget(&self, attempt: ReportedAttempt) -> bool {
         self.starts.contains_key(&attempt)
     }
 
--- a/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
+++ b/crates/gladekeel-controller/src/leader/reconciliation/attempts.rs
@@ -187,7 +187,7 @@
         let Some(machine) = self.cluster.machines.get(&machine_idx) else { return };
         if status.state != TaskState::Exited {
             commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
-        } else if !machine.commands.starts.forbid_forget(status.into()) {
+        } else if !machine.commands.starts.forbids_forget(status.into()) {
             // The attempt is no longer assigned here, so its release is committed. The worker
             // refuses starts under earlier tokens, and none under this one would run the task.
             if status.cause != Some(ExitCause::Done) && self.attempt_log.may_write(now) {
--- a/crates/gladekeel-controller/src/leader/scheduling/binding.rs
+++ b/crates/gladekeel-controller/src/leader/scheduling/binding.rs
@@ -31,7 +31,7 @@
         let Some(task_index) = job.pending.pop_next() else { return };
         let is_listed = |gang_attempt| {
             let attempt = ReportedAttempt { number: gang_attempt, task_index };
-            machine.commands.starts.forbid_forget(attempt)
+            machine.commands.starts.forbids_forget(attempt)
         };
         if binding.gang_attempt.is_some_and(is_listed) {
             // The worker would ignore a start of an attempt that it still lists as exited.
--- a/crates/gladekeel-testkit/src/scenario/mod.rs
+++ b/crates/gladekeel-testkit/src/scenario/mod.rs
@@ -88,7 +88,7 @@
 //! | `outage cloud for S` | The cloud refuses all requests. |
 //! | `drop_responses store for S` | The store executes requests, but its responses are lost. |
 //! | `deny_store WHO for S` | The store refuses the requests of these nodes. |
-//! | `corrupt assignment_log for S` | The assignment log in the store cannot be read. |
+//! | `corrupt assignment_log\|job for S` | The assignment log, or one stored job that no user has submitted, cannot be read. |
 //! | `compact store` | The store compacts its history. |
 //! | `lower_limits store KEY=N ...` | The store lowers its limits: `value_kb`, `txn_ops`, `write_rps`, `rps`. |
 //! | `fail_next_boots COUNT` | The next COUNT machines that are rented never boot. |
--- a/crates/gladekeel-testkit/src/scenario/steps/services.rs
+++ b/crates/gladekeel-testkit/src/scenario/steps/services.rs
@@ -6,6 +6,8 @@
     simulation::Simulation,
     stand_ins::store::StoreLimits,
 };
+use gladekeel_store::StoreRequest;
+use gladekeel_wire::store::{Transaction, Write};
 
 /// `outage store|cloud for S`: the store or the cloud refuses all requests.
 pub(super) fn outage(line: &Line) -> Result<Step, LineError> {
@@ -52,14 +54,38 @@
     Ok(fault_for(line.duration_s, refuse, |sim| sim.store.refused_nodes.clear()))
 }
 
-/// `corrupt assignment_log for S`: the assignment log in the store cannot be read.
+/// Key of a job that no user has submitted, whose value `corrupt job` makes unreadable.
+const UNREADABLE_JOB_KEY: &str = "gk/job/job-999999";
+
+/// `corrupt assignment_log|job for S`: the assignment log, or one stored job that no user has
+/// submitted, cannot be read.
 pub(super) fn corrupt(line: &Line) -> Result<Step, LineError> {
-    expect_target(line, "assignment_log")?;
-    Ok(fault_for(
-        line.duration_s,
-        |sim| sim.store.corrupt_assignment_log(true),
-        |sim| sim.store.corrupt_assignment_log(false),
-    ))
+    let duration_s = line.duration_s;
+    match line.token(1, "assignment_log or job")? {
+        "assignment_log" => Ok(fault_for(
+            duration_s,
+            |sim| sim.store.corrupt_assignment_log(true),
+            |sim| sim.store.corrupt_assignment_log(false),
+        )),
+        "job" => Ok(fault_for(duration_s, put_unreadable_job, remove_unreadable_job)),
+        other => Err(LineError::unexpected("assignment_log or job", other)),
+    }
+}
+
+fn put_unreadable_job(sim: &mut Simulation) {
+    let (key, value) = (UNREADABLE_JOB_KEY.to_owned(), "unreadable".into());
+    write_to_store(sim, Write::Put { key, value, lease: None });
+}
+
+fn remove_unreadable_job(sim: &mut Simulation) {
+    write_to_store(sim, Write::Delete { key: UNREADABLE_JOB_KEY.to_owned() });
+}
+
+/// Writes to the store as another version of a node would.
+fn write_to_store(sim: &mut Simulation, write: Write) {
+    let transaction = Transaction { preconditions: Vec::new(), writes: vec![write] };
+    let other_node = sim.node_count();
+    sim.store.call(sim.now, other_node, &StoreRequest::Commit(transaction));
 }
 
 /// `compact store`: the store compacts its history.
--- a/crates/gladekeel-testkit/tests/fake_worker.rs
+++ b/crates/gladekeel-testkit/tests/fake_worker.rs
@@ -12,6 +12,17 @@
     worker::{Command, DirectCommands, ExitCause, HeartbeatResponse},
 };
 
+fn new_worker() -> FakeWorker {
+    let machine = MachineIdentity {
+        name: "n-1".into(),
+        machine_type: "m32".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let capacity = Resources { cpus: 32.0, gpus: 0.0, memory_gb: 64.0 };
+    FakeWorker::new(machine, capacity, 30.0, 0.0, 0)
+}
+
 fn start(task: &TaskId) -> Vec<Command> {
     vec![Command::Start { task: task.clone(), attempt: 1 }]
 }
@@ -23,14 +34,7 @@
     let spec = example_job("job-1");
     let task = TaskId { job: spec.id.clone(), index: 0 };
     let find = |_: &TaskId| Some(spec.clone());
-    let machine = MachineIdentity {
-        name: "n-1".into(),
-        machine_type: "m32".into(),
-        zone: "a".into(),
-        spot: false,
-    };
-    let capacity = Resources { cpus: 32.0, gpus: 0.0, memory_gb: 64.0 };
-    let mut worker = FakeWorker::new(machine, capacity, 30.0, 0.0, 0);
+    let mut worker = new_worker();
     let response = HeartbeatResponse { token: 7, commands: start(&task) };
     assert!(worker.handle_heartbeat_response(0.0, 1, 0.0, &response, &find).is_empty());
     assert_eq!(worker.step(1.5), [WorkerEvent::TaskStarted(task.clone())]);
@@ -59,14 +63,7 @@
     let spec = example_job("job-1");
     let task = TaskId { job: spec.id.clone(), index: 0 };
     let find = |_: &TaskId| Some(spec.clone());
-    let machine = MachineIdentity {
-        name: "n-1".into(),
-        machine_type: "m32".into(),
-        zone: "a".into(),
-        spot: false,
-    };
-    let capacity = Resources { cpus: 32.0, gpus: 0.0, memory_gb: 64.0 };
-    let mut worker = FakeWorker::new(machine, capacity, 30.0, 0.0, 0);
+    let mut worker = new_worker();
     let commands = DirectCommands { token: 7, incarnation: 1, commands: start(&task) };
     assert!(worker.handle_direct_commands(0.0, &commands, &find).0);
     worker.record_kept_results(|completed| *completed == task);
