--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -108,7 +108,7 @@
     fn step(&self, world: &World, inner: &mut Inner) {
         let now = world.record.now();
         if now - inner.renewed_at > world.lease_s {
-            world.record.line(&format!("{}: lease of session {} expired", self.name, inner.watch));
+            world.record.line(&format!("{}: lease of watch {} expired", self.name, inner.watch));
             for (piece, attempt) in inner.tasks.keys() {
                 world.task_off(&self.name, piece, *attempt, "lease expired");
             }
