--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -5,20 +5,21 @@
 use std::sync::Arc;
 
 const ALL: [usize; 3] = [0, 1, 2];
-const SIGCONT: i32 = 18;
-const SIGSTOP: i32 = 19;
-/// The longest pause and cut of the pages, of `kit/fleet`.
-const FREEZE_S: f64 = 51.0;
+/// The longest cut of a zone in the days of the pages, of `kit/fleet`.
 const CUT_S: f64 = 70.0;
+/// The longest time for which the state service refuses one controller is 65 s.
+const REFUSED_S: f64 = 30.0;
+/// "The state may lag by up to 3 s."
+const STATE_LAG_S: f64 = 3.0;
 /// An accepted order has to reach the leader.
 const DRAIN_GRACE_S: f64 = 5.0;
 
 pub fn play(case: &str, record: Record, run: Vec<String>, trouble: bool) -> i32 {
     let script: fn(&Arc<World>, bool) -> bool = match case {
-        "paused-leader" => paused_leader,
         "zone-cut" => zone_cut,
         "drain" => drain,
         "small-tasks" => small_tasks,
+        "wrong-state" => wrong_state,
         _ => return 2,
     };
     let world = World::new(record, run);
@@ -189,52 +190,46 @@
     true
 }
 
-/// The leader stands still, while its clocks run on.
-fn paused_leader(world: &Arc<World>, trouble: bool) -> bool {
-    if !start_all(world, 1) || world.leader().map(|(node, _)| node) != Some(1) {
-        return false;
-    }
-    let first = job(16.0, 35.0, 20.0);
-    let ok =
-        world.submit(&ALL, "job-000001", "lathe-crew", 2, Some("shore-shed"), false, first.clone())
-            && world.submit(&ALL, "job-000002", "lathe-crew", 2, Some("upper-loft"), false, first);
-    let is_complete = || world.results("job-000001") + world.results("job-000002") == 4;
-    if !ok || !world.wait_for("the first jobs are complete", 45.0, is_complete) {
+/// The state service refuses one controller that does not lead, while a job starts.
+fn wrong_state(world: &Arc<World>, trouble: bool) -> bool {
+    if !start_all(world, 0) {
         return false;
     }
-    let start = world.record.now() + 2.0;
-    world.sleep_until(start);
+    world.sleep_until(4.0);
+    let refused_at = world.record.now();
     if trouble {
-        world.signal(1, SIGSTOP);
+        *world.refused.lock().unwrap() = Some(2);
+        world.record.line("state service: refuses berth-2 alone");
     }
-    world.sleep_until(start + 5.0);
-    let second = job(16.0, 35.0, 90.0);
-    let ok = world.submit(
-        &[0, 2],
-        "job-000003",
-        "lathe-crew",
-        2,
-        Some("shore-shed"),
-        false,
-        second.clone(),
-    ) && world.submit(
-        &[0, 2],
-        "job-000004",
-        "lathe-crew",
-        2,
-        Some("upper-loft"),
-        false,
-        second,
-    );
-    let run = || world.running("job-000003") + world.running("job-000004") == 4;
-    if !ok || !world.wait_for("the second jobs run", 30.0, run) {
+    world.sleep_until(refused_at + 2.0);
+    let id = "job-000001";
+    let ok = world.submit(&[0, 1], id, "lathe-crew", 4, None, false, job(16.0, 35.0, 90.0));
+    if !ok || !world.wait_for("all tasks run", 30.0, || world.running(id) == 4) {
         return false;
     }
-    world.sleep_until(start + FREEZE_S);
-    world.record.line(&format!("leader in the state service: {:?}", world.leader()));
-    if trouble {
-        world.signal(1, SIGCONT);
+    world.sleep_until(refused_at + REFUSED_S);
+    *world.refused.lock().unwrap() = None;
+    world.record.line("state service: refuses nobody");
+    let end = world.record.now();
+    let mut wrong = 0;
+    while world.record.now() < end + 40.0 {
+        for node in ALL {
+            let all_ran = world.running(id) == 4;
+            let asked_at = world.record.now();
+            let state = world.poll(&[node], id);
+            let is_wrong = state.as_deref() == Some("queued") && all_ran && world.running(id) == 4;
+            if is_wrong && asked_at > end + STATE_LAG_S {
+                wrong += 1;
+                if wrong == 1 || asked_at > end + 38.0 {
+                    world.record.violation(&format!(
+                        "wrong state: berth-{node} calls {id} queued {:.1} s after it was served again, while 4 tasks run",
+                        asked_at - end
+                    ));
+                }
+            }
+        }
+        std::thread::sleep(std::time::Duration::from_millis(500));
     }
-    world.sleep_until(start + FREEZE_S + 8.0);
+    world.record.line(&format!("wrong answers: {wrong}"));
     true
 }
